--- /dev/null
+++ b/src/decision/decision.h
@@ -0,0 +1,178 @@
+// The interface of orchidgw's decision module: settings, events, actions. Protocol-neutral, no decisions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace orchidgw {
+
+using TimeUs = std::int64_t;    // microseconds on the event clock
+using QueryId = std::uint32_t;  // unique for the life of an instance
+using EngineId = std::string;   // opaque; the same at every gateway
+
+enum class Effect { kIdempotent, kDeduplicated, kAtMostOnce };
+enum class RepeatScope { kAll, kZone, kCell };
+enum class WhenShort { kWait, kShrink, kPage };
+enum class EngineState { kInService, kDraining, kGone };
+enum class ListKind { kDelta, kFull, kStored, kError };
+enum class OutcomeKind { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
+enum class NoteKind { kProgress, kSpill, kWait };
+
+struct ClassSettings {
+  std::string name;
+  TimeUs aim = 0;
+  double aim_stretch = 0;
+  TimeUs deadline = 0;
+  Effect effect = Effect::kAtMostOnce;
+  RepeatScope repeat_scope = RepeatScope::kAll;
+  TimeUs repeat_window = 0;
+  double value = 1;
+  double late_worth = 0;
+  bool in_order = false;
+  bool streaming = false;
+  std::optional<std::vector<std::string>> zones;  // the only zones allowed, if given
+  std::optional<std::vector<std::string>> kinds;  // the only machine kinds allowed, if given
+  int threads = 1;
+  bool load = false;             // holds its table group on its engine while it runs
+  bool waits_for_loads = false;  // stands still while a load holds its group there
+};
+
+struct KindSettings {
+  std::string name;
+  int cores = 1;
+  double memory_mb = 0;
+};
+
+struct TenantSettings {
+  std::string name;
+  double portion = 0;
+  double quota_per_s = 0;
+};
+
+struct Limits {
+  bool cancel = false;
+  bool probes = false;
+  bool peers = false;
+  bool second_copies = false;
+  bool retry_after = false;
+  TimeUs max_retry_after = 0;
+  int max_attempts = 1;
+};
+
+struct Rules {
+  TimeUs answer_slack = 0;
+  TimeUs drain_grace = 0;
+  TimeUs ask_within = 0;
+  double cold_from = 1;
+  TimeUs cold_for = 0;
+  double fall_multiple = 0;  // 0: no such rule
+  TimeUs fall_window = 0;
+  TimeUs key_rest = 0;
+  bool attempts_rationed = false;
+  double extra_free = 0;
+  double extra_share = 0;
+  TimeUs extra_window = 0;
+};
+
+struct Settings {
+  int gateways = 1;
+  int self = 0;
+  std::string zone;
+  std::vector<ClassSettings> classes;
+  std::vector<KindSettings> kinds;
+  std::vector<TenantSettings> tenants;
+  Limits limits;
+  Rules rules;
+  bool must_ask_discovery = false;
+  bool grants = false;
+  bool priorities = false;
+  bool tells_cost = false;
+  double max_grant_share = 1;
+  WhenShort when_short = WhenShort::kWait;
+  TimeUs progress_interval = 0;  // 0: no notes
+  double over_share_worth = 1;
+};
+
+struct EngineEntry {
+  EngineId id;
+  std::string zone;
+  std::string kind;
+  int cell = 0;
+  TimeUs started_at = 0;  // 0: a long time back
+  EngineState state = EngineState::kInService;
+};
+
+struct Query {
+  QueryId id = 0;
+  std::string tenant;  // empty: untagged
+  int class_index = 0;
+  std::int64_t table_group = 0;
+  TimeUs time_budget = 0;
+  std::string key;           // empty: none
+  double memory_mb = 0;      // estimate; 0: none
+  TimeUs cost_estimate = 0;  // 0: none
+  bool repeat = false;
+};
+
+using LoadReport = std::map<std::string, double>;
+
+struct Outcome {
+  QueryId query = 0;
+  int attempt = 0;
+  EngineId engine;
+  OutcomeKind kind = OutcomeKind::kOk;
+  TimeUs latency = 0;
+  bool ended = false;               // the query is finished, by this outcome or before it
+  std::optional<TimeUs> told_cost;  // the work that it needed
+  std::optional<double> told_memory_mb;
+  LoadReport report;
+};
+
+struct Note {
+  QueryId query = 0;
+  int attempt = 0;
+  EngineId engine;
+  NoteKind kind = NoteKind::kProgress;
+  double value = 0;  // share done; MB missing; 1 waits for memory, 2 for a load
+};
+
+class ActionSink {
+ public:
+  virtual ~ActionSink() = default;
+  virtual void send(QueryId query, const EngineId& engine, TimeUs stop_at) = 0;
+  virtual void refuse(QueryId query, TimeUs retry_after) = 0;
+  virtual void fail(QueryId query) = 0;
+  virtual void cancel(QueryId query, int attempt) = 0;
+  virtual void set_terms(QueryId query, int priority, double grant_mb) = 0;
+  virtual void probe(const EngineId& engine) = 0;
+  virtual void subscribe() = 0;
+  virtual void fetch_list() = 0;
+  virtual void tell_all(const std::string& bytes) = 0;
+  virtual void set_timer(TimeUs delay, std::uint64_t token) = 0;
+  virtual void log(const std::string& text) = 0;
+};
+
+class DecisionModule {
+ public:
+  virtual ~DecisionModule() = default;
+  virtual void on_engines(TimeUs now, ListKind kind, const std::vector<EngineEntry>& entries,
+                          ActionSink& sink) = 0;
+  virtual void on_query(TimeUs now, const Query& query, ActionSink& sink) = 0;
+  virtual void on_outcome(TimeUs now, const Outcome& outcome, ActionSink& sink) = 0;
+  virtual void on_note(TimeUs now, const Note& note, ActionSink& sink) = 0;
+  virtual void on_stream_started(TimeUs now, QueryId query, int attempt, ActionSink& sink) = 0;
+  virtual void on_client_gone(TimeUs now, QueryId query, ActionSink& sink) = 0;
+  virtual void on_probe(TimeUs now, const EngineId& engine, bool ok, const LoadReport& report,
+                        ActionSink& sink) = 0;
+  virtual void on_peer(TimeUs now, int peer, const std::string& bytes, ActionSink& sink) = 0;
+  virtual void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) = 0;
+};
+
+// Throws std::invalid_argument on settings that it can't work with.
+std::unique_ptr<DecisionModule> make_workload_budget(const Settings& settings, std::uint64_t seed);
+
+}  // namespace orchidgw
--- /dev/null
+++ b/src/decision/workload_budget.cpp
@@ -0,0 +1,721 @@
+// orchidgw's decision module: workload budgets after Pinot's query resource isolation (docs/design.md).
+// The interface that it implements is src/decision/decision.h. Nothing outside this file decides anything.
+//
+// Map: constants | records | settings and listing | events | learned costs | budget ledger | routing |
+//      admission and holding | the guard of every send | attempts and answers | engine health | timers
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+#include "decision/decision.h"
+
+namespace orchidgw {
+namespace {
+
+// --- Constants: value, unit, reason -----------------------------------------------------------------------
+constexpr TimeUs kMs = 1000;
+constexpr TimeUs kWindow = 5'000 * kMs;      // enforcement window (DESIGN)
+constexpr double kMeanBound = 1.25;          // x this gateway's mean threads per engine (DESIGN)
+constexpr double kThreadsPerCore = 2.0;      // threads per core, all gateways together (DESIGN)
+constexpr double kPressure = 2.0;            // slowdown from which the bounds bind: answers take twice
+constexpr TimeUs kFullMemory = 1'000 * kMs;  // a "full" answer counts as pressure for this long
+constexpr TimeUs kTick = 20 * kMs;           // housekeeping period: expiry of held queries, silence
+constexpr TimeUs kAnswerMargin = 60 * kMs;   // a held query is answered this long before its time ends
+constexpr double kSilenceFactor = 3.0;       // x the expected latency without any sign of life: silent
+constexpr TimeUs kSilenceFloor = 700 * kMs;  // and never sooner than this
+constexpr double kNotesMissed = 3.0;         // x the progress interval without a sign of life: silent
+constexpr TimeUs kTrialFirst = 1'000 * kMs;  // first wait before a suspect engine gets one trial query
+constexpr TimeUs kTrialMost = 4'000 * kMs;   // waits double up to this
+constexpr double kErrorShare = 0.3;          // share of failed answers from which an engine is suspect
+constexpr double kErrorWeight = 0.2;         // weight of one answer in that share
+constexpr double kLearnWeight = 0.05;        // weight of one answer in learned costs
+constexpr double kSlowWeight = 0.2;          // weight of one answer in an engine's slowdown
+constexpr double kSlowMost = 10.0;           // one answer counts as at most this slow: loads stall readers
+constexpr double kGrantSpill = 0.15;         // share of queries that may need more memory than granted
+constexpr double kGrantStart = 1.25;         // x the estimate, before anything is learned
+constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
+constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
+constexpr double kColdKeepWarm = 1.3;        // x the stated warm-up for which an engine counts as cold
+constexpr size_t kScanMost = 48;             // held queries tried for a place at one event
+constexpr std::uint64_t kTokenTick = 1, kTokenReset = 2, kTokenWake = 3;
+
+std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+std::uint64_t hash_text(const std::string& text) {
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return mix(h);
+}
+
+bool never_ran(OutcomeKind k) {
+  return k == OutcomeKind::kFull || k == OutcomeKind::kConnectFailed || k == OutcomeKind::kMoot;
+}
+
+bool may_still_run(OutcomeKind k) {
+  return k == OutcomeKind::kTimeout || k == OutcomeKind::kReset || k == OutcomeKind::kCancelled;
+}
+
+// --- Records ----------------------------------------------------------------------------------------------
+struct Attempt {
+  EngineId engine;
+  std::string zone;
+  int cell = 0;
+  TimeUs sent_at = 0;
+  double charge = 0;    // us of CPU taken from the budget
+  double grant_mb = 0;  // 0: left to the engine
+  bool budgeted = false;
+  bool spilled = false;
+  bool open = true;
+  bool given_up = false;  // its engine fell silent, or it was cancelled
+  OutcomeKind outcome = OutcomeKind::kOk;
+};
+
+struct Held {
+  Query q;
+  TimeUs arrived = 0;
+  TimeUs deadline = 0;
+  double cost = 0;     // us of CPU expected
+  double density = 0;  // worth per CPU second
+  std::uint64_t seq = 0;
+  std::vector<Attempt> attempts;
+  bool ended = false;
+  bool waiting = false;  // in the holding line
+  int priority = -1;     // as last told
+  int in_flight() const {
+    return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.open; }));
+  }
+};
+
+struct Engine {
+  EngineEntry entry;
+  std::uint64_t hash = 0;
+  bool listed = false;
+  int cores = 1;
+  double memory_mb = 0;
+  double threads = 0;                          // this gateway's, out there now
+  double granted_mb = 0;                       // this gateway's
+  std::map<std::string, double> left;          // budget per tenant, us of CPU
+  std::map<std::int64_t, int> loads;           // this gateway's loads per table group
+  std::map<std::int64_t, TimeUs> stalled;      // table group: until when a load is known to stall readers
+  std::deque<std::pair<TimeUs, double>> sent;  // work sent while cold
+  std::set<std::pair<QueryId, int>> out;
+  double slowdown = 1;
+  double errors = 0;
+  TimeUs last_sign = 0;  // of life: an answer or a note
+  TimeUs last_full = -kWindow;
+  bool suspect = false;
+  TimeUs trial_wait = kTrialFirst;
+  TimeUs next_trial = 0;
+};
+
+struct Learned {
+  double told = 0, estimated = 0;  // decayed sums: how far estimates of cost are off
+  double mean = 0;                 // us of CPU; 0: nothing learned yet
+  double base = 0;                 // where costs are not told: latency x threads per estimate when calm
+  double grant = kGrantStart;
+};
+
+struct KeyLine {
+  std::deque<QueryId> line;
+  TimeUs rest_until = 0;
+};
+
+class WorkloadBudget final : public DecisionModule {
+ public:
+  explicit WorkloadBudget(const Settings& settings) : s_(settings) {
+    if (s_.gateways < 1 || s_.classes.empty()) throw std::invalid_argument("no gateways or no classes");
+    for (const auto& c : s_.classes)
+      if (c.threads < 1 || c.deadline <= 0) throw std::invalid_argument("class without threads or deadline");
+    learned_.resize(s_.classes.size());
+    for (const auto& t : s_.tenants) quota_ += t.quota_per_s;
+  }
+
+  // --- Listing --------------------------------------------------------------------------------------------
+  void on_engines(TimeUs now, ListKind kind, const std::vector<EngineEntry>& entries,
+                  ActionSink& sink) override {
+    start(now, sink);
+    if (kind == ListKind::kError) {
+      if (s_.must_ask_discovery) sink.set_timer(1'000 * kMs, kTokenWake), ask_again_ = now + 1'000 * kMs;
+      return;
+    }
+    if (kind != ListKind::kDelta)
+      for (auto& [id, e] : engines_) e.listed = false;
+    for (const auto& entry : entries) {
+      Engine& e = engines_[entry.id];
+      const bool restarted = !e.entry.id.empty() && e.entry.started_at != entry.started_at;
+      e.entry = entry;
+      e.hash = hash_text(entry.id);
+      e.listed = entry.state == EngineState::kInService;
+      for (const auto& k : s_.kinds)
+        if (k.name == entry.kind) e.cores = std::max(1, k.cores), e.memory_mb = k.memory_mb;
+      if (restarted) clear_suspicion(e), e.slowdown = 1;
+    }
+    std::erase_if(engines_, [](const auto& p) { return !p.second.listed && p.second.out.empty(); });
+    pump(now, sink);
+  }
+
+  // --- Events ---------------------------------------------------------------------------------------------
+  void on_query(TimeUs now, const Query& q, ActionSink& sink) override {
+    start(now, sink);
+    arrivals_.push_back(now);
+    if (s_.rules.attempts_rationed) taken_.push_back(now);
+    const ClassSettings& c = s_.classes.at(static_cast<size_t>(q.class_index));
+    Held& h = queries_[q.id];
+    h.q = q;
+    h.arrived = now;
+    h.deadline = now + std::min(q.time_budget, c.deadline);
+    h.seq = ++seq_;
+    h.cost = expected_cost(q);
+    h.density = c.value / std::max(h.cost, 1.0) * 1e6;
+    const double w = mean_density_ > 0 ? 0.01 : 1;
+    mean_value_ += w * (c.value - mean_value_);
+    mean_work_ += w * (h.cost - mean_work_);
+    mean_density_ = mean_value_ / std::max(mean_work_, 1.0) * 1e6;
+    if (c.in_order && !q.key.empty()) keys_[q.key].line.push_back(q.id);
+    hold(h);
+    pump(now, sink);
+    if (const auto it = queries_.find(q.id); it != queries_.end() && it->second.waiting)
+      sink.set_timer(std::max<TimeUs>(give_up_at(it->second) - now, 1), kTokenWake);
+  }
+
+  void on_outcome(TimeUs now, const Outcome& o, ActionSink& sink) override {
+    start(now, sink);
+    const auto it = queries_.find(o.query);
+    if (it == queries_.end() || o.attempt < 0 || o.attempt >= static_cast<int>(it->second.attempts.size()))
+      return;
+    Held& h = it->second;
+    Attempt& a = h.attempts[static_cast<size_t>(o.attempt)];
+    if (!a.open) return;
+    a.open = false;
+    a.outcome = o.kind;
+    settle(h, a, o);
+    judge(now, a, o);
+    if (o.ended) end(h);
+    if (!h.ended) next_step(now, h, sink);
+    forget_if_over(now, o.query);
+    pump(now, sink);
+  }
+
+  void on_note(TimeUs now, const Note& n, ActionSink& sink) override {
+    const auto it = queries_.find(n.query);
+    const auto e = engines_.find(n.engine);
+    if (it == queries_.end() || e == engines_.end()) return;
+    e->second.last_sign = now;
+    if (e->second.suspect && e->second.errors < kErrorShare) clear_suspicion(e->second);
+    if (n.attempt < 0 || n.attempt >= static_cast<int>(it->second.attempts.size())) return;
+    if (n.kind == NoteKind::kSpill) it->second.attempts[static_cast<size_t>(n.attempt)].spilled = true;
+    if (n.kind == NoteKind::kWait && n.value >= 2)
+      e->second.stalled[it->second.q.table_group] = now + 2 * std::max(s_.progress_interval, kTick);
+    if (n.kind == NoteKind::kWait && n.value < 2) e->second.last_full = now;
+    pump(now, sink);
+  }
+
+  void on_stream_started(TimeUs now, QueryId id, int, ActionSink&) override {
+    if (const auto it = queries_.find(id); it != queries_.end()) {
+      for (const auto& a : it->second.attempts)
+        if (const auto e = engines_.find(a.engine); a.open && e != engines_.end()) e->second.last_sign = now;
+    }
+  }
+
+  void on_client_gone(TimeUs now, QueryId id, ActionSink& sink) override {
+    const auto it = queries_.find(id);
+    if (it == queries_.end()) return;
+    if (!it->second.ended) end(it->second);
+    cancel_open(it->second, sink);
+    forget_if_over(now, id);
+    pump(now, sink);
+  }
+
+  void on_probe(TimeUs, const EngineId&, bool, const LoadReport&, ActionSink&) override {}
+  void on_peer(TimeUs, int, const std::string&, ActionSink&) override {}
+
+  void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
+    if (token == kTokenReset) {
+      reset_budgets();
+      sink.set_timer(kWindow, kTokenReset);
+    }
+    if (token == kTokenTick) {
+      sink.set_timer(kTick, kTokenTick);
+      watch_silence(now, sink);
+      std::erase_if(keys_,
+                    [&](const auto& k) { return k.second.line.empty() && k.second.rest_until <= now; });
+    }
+    if (ask_again_ > 0 && now >= ask_again_) ask_again_ = 0, sink.subscribe();
+    expire(now, sink);
+    pump(now, sink);
+  }
+
+ private:
+  void start(TimeUs now, ActionSink& sink) {
+    if (started_) return;
+    started_ = true;
+    started_at_ = now;
+    sink.set_timer(kTick, kTokenTick);
+    sink.set_timer(kWindow, kTokenReset);
+    if (s_.must_ask_discovery) sink.subscribe();
+  }
+
+  const ClassSettings& cls(const Held& h) const { return s_.classes[static_cast<size_t>(h.q.class_index)]; }
+  Learned& learned(const Held& h) { return learned_[static_cast<size_t>(h.q.class_index)]; }
+
+  // --- Learned costs --------------------------------------------------------------------------------------
+  double expected_cost(const Query& q) const {
+    const Learned& l = learned_[static_cast<size_t>(q.class_index)];
+    const ClassSettings& c = s_.classes[static_cast<size_t>(q.class_index)];
+    if (q.cost_estimate > 0)
+      return static_cast<double>(q.cost_estimate) * (l.estimated > 0 ? l.told / l.estimated : 1.0);
+    return l.mean > 0 ? l.mean : static_cast<double>(c.aim) * 0.5;
+  }
+
+  double grant_for(const Held& h, const Engine& e) const {
+    if (!s_.grants || h.q.memory_mb <= 0) return 0;
+    const double want = h.q.memory_mb * learned_[static_cast<size_t>(h.q.class_index)].grant;
+    return e.memory_mb > 0 ? std::min(want, e.memory_mb * s_.max_grant_share) : want;
+  }
+
+  // An answer corrects its charge and teaches costs, memory and the engine's slowdown.
+  void settle(const Held& h, Attempt& a, const Outcome& o) {
+    const auto it = engines_.find(a.engine);
+    const ClassSettings& c = cls(h);
+    const double spent = o.told_cost && o.kind == OutcomeKind::kOk
+                             ? static_cast<double>(*o.told_cost)
+                             : static_cast<double>(o.latency * c.threads);
+    if (it != engines_.end()) {
+      Engine& e = it->second;
+      e.threads -= c.threads;
+      e.granted_mb -= a.grant_mb;
+      if (c.load && --e.loads[h.q.table_group] <= 0) e.loads.erase(h.q.table_group);
+      e.out.erase({h.q.id, static_cast<int>(&a - h.attempts.data())});
+      if (!h.q.tenant.empty() && o.kind != OutcomeKind::kTimeout && o.kind != OutcomeKind::kCancelled)
+        e.left[h.q.tenant] += a.charge - (never_ran(o.kind) ? 0.0 : spent);
+    }
+    if (o.kind != OutcomeKind::kOk) return;
+    Learned& l = learned(h);
+    const double estimate = static_cast<double>(h.q.cost_estimate);
+    double slow = 0;
+    if (o.told_cost) {
+      if (estimate > 0) {
+        l.told += kLearnWeight * (spent - l.told);
+        l.estimated += kLearnWeight * (estimate - l.estimated);
+      }
+      slow = static_cast<double>(o.latency * c.threads) / std::max(spent, 1.0);
+    } else if (estimate > 0) {
+      const double ratio = spent / estimate;
+      if (l.base <= 0) l.base = ratio;
+      l.base *= std::exp(kLearnWeight * (ratio < l.base ? -0.75 : 0.25));
+      l.told += kLearnWeight * (l.base * estimate - l.told);
+      l.estimated += kLearnWeight * (estimate - l.estimated);
+      slow = ratio / l.base;
+    }
+    l.mean += (l.mean > 0 ? kLearnWeight : 1) * (spent - l.mean);
+    if (it != engines_.end() && slow > 0 && !c.load)
+      it->second.slowdown += kSlowWeight * (std::min(slow, kSlowMost) - it->second.slowdown);
+    if (a.grant_mb > 0) {
+      const bool short_of = o.told_memory_mb ? *o.told_memory_mb > a.grant_mb : a.spilled;
+      l.grant *= std::exp(kGrantStep * (short_of ? 1 - kGrantSpill : -kGrantSpill));
+      l.grant = std::clamp(l.grant, 0.1, 10.0);
+    }
+  }
+
+  // --- Budget ledger --------------------------------------------------------------------------------------
+  // The design splits evenly over gateways. Where tenants' quotas are told, a gateway that takes more than
+  // an even part of them uses that part instead (exception "share", docs/design.md).
+  double share(TimeUs now) {
+    while (!arrivals_.empty() && arrivals_.front() < now - kWindow) arrivals_.pop_front();
+    const double even = 1.0 / s_.gateways;
+    const TimeUs seen = std::clamp<TimeUs>(now - started_at_, 1'000 * kMs, kWindow);
+    if (quota_ <= 0) return even;
+    const double rate = static_cast<double>(arrivals_.size()) * 1e6 / static_cast<double>(seen);
+    return std::clamp(rate / quota_, even, 1.0);
+  }
+
+  void reset_budgets() {
+    for (auto& [id, e] : engines_) e.left.clear();
+  }
+
+  double& budget(Engine& e, const std::string& tenant, TimeUs now) {
+    const auto [it, fresh] = e.left.try_emplace(tenant, 0.0);
+    if (fresh) {
+      const double tenants = static_cast<double>(std::max<size_t>(s_.tenants.size(), 1));
+      it->second = e.cores * static_cast<double>(kWindow) * share(now) / tenants;
+    }
+    return it->second;
+  }
+
+  // --- Routing --------------------------------------------------------------------------------------------
+  // Rendezvous order of the table group: the same at every gateway, stable as engines come and go.
+  std::vector<Engine*> walk_order(const Held& h) {
+    std::vector<std::pair<std::uint64_t, Engine*>> ranked;
+    for (auto& [id, e] : engines_)
+      if (e.listed)
+        ranked.emplace_back(mix(e.hash ^ mix(static_cast<std::uint64_t>(h.q.table_group) + 1)), &e);
+    std::sort(ranked.begin(), ranked.end(), [](auto& a, auto& b) {
+      return a.first != b.first ? a.first < b.first : a.second->entry.id < b.second->entry.id;
+    });
+    std::vector<Engine*> order;
+    order.reserve(ranked.size());
+    for (auto& r : ranked) order.push_back(r.second);
+    // A load holds its group where it runs. It walks from the far end, each gateway from a place of its
+    // own, so that it stalls neither the readers at the group's home nor the other gateways' loads.
+    if (cls(h).load && !order.empty()) {
+      std::reverse(order.begin(), order.end());
+      const auto half = std::max<size_t>(order.size() / 2, 1);
+      std::rotate(order.begin(), order.begin() + s_.self % static_cast<int>(half),
+                  order.begin() + static_cast<std::ptrdiff_t>(half));
+    }
+    return order;
+  }
+
+  bool stalled_for(const Held& h, Engine& e, TimeUs now) {
+    if (!cls(h).load && !cls(h).waits_for_loads) return false;
+    if (e.loads.count(h.q.table_group) > 0) return true;
+    const auto it = e.stalled.find(h.q.table_group);
+    return it != e.stalled.end() && it->second > now;
+  }
+
+  bool under_bounds(const Held& h, const Engine& e, TimeUs now) {
+    double sum = 0, n = 0;
+    for (const auto& [id, x] : engines_)
+      if (x.listed && !x.suspect) sum += x.threads, n += 1;
+    const double threads = cls(h).threads;
+    const double by_mean = kMeanBound * sum / std::max(n, 1.0) + threads;
+    const double by_cores = std::max(kThreadsPerCore * e.cores * share(now), threads);
+    return e.threads + threads <= std::min(by_mean, by_cores) + 1e-9;
+  }
+
+  bool pressed(const Engine& e, TimeUs now) const {
+    return e.slowdown > kPressure || now - e.last_full < kFullMemory;
+  }
+
+  Engine* route(const Held& h, TimeUs now) {
+    const auto order = walk_order(h);
+    for (const int pass :
+         {0, 1, 2}) {  // 1: also engines already tried; 2: also where a load stalls the group
+      for (Engine* e : order) {
+        const bool tried = std::any_of(h.attempts.begin(), h.attempts.end(),
+                                       [&](const Attempt& a) { return a.engine == e->entry.id; });
+        if (pass < 1 && tried) continue;
+        if (pass < 2 && stalled_for(h, *e, now)) continue;
+        if (!healthy(*e, h, now) || !may_send(h, *e, now)) continue;
+        const bool under = under_bounds(h, *e, now);
+        const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant, now) > 0;
+        if (open ? (under || !pressed(*e, now)) : under) return e;
+      }
+    }
+    return nullptr;
+  }
+
+  // --- Admission and holding ------------------------------------------------------------------------------
+  void hold(Held& h) {
+    h.waiting = true;
+    line_.insert({-h.density, h.seq, h.q.id});
+  }
+
+  void unhold(Held& h) {
+    h.waiting = false;
+    line_.erase({-h.density, h.seq, h.q.id});
+  }
+
+  double ideal(const Held& h) const { return h.cost / cls(h).threads; }
+
+  // A held query is worth starting until its aim can't be met any more; one that may have run already
+  // can't always be refused and is tried until its time ends.
+  TimeUs give_up_at(const Held& h) const {
+    const TimeUs last = h.deadline - kAnswerMargin;
+    if (!may_refuse(h)) return last;
+    const ClassSettings& c = cls(h);
+    const double aim = static_cast<double>(c.aim) + c.aim_stretch * ideal(h);
+    const TimeUs start_by = h.arrived + static_cast<TimeUs>(std::max(aim - 1.5 * ideal(h), aim * 0.3));
+    return std::min(last, start_by);
+  }
+
+  void expire(TimeUs now, ActionSink& sink) {
+    std::vector<QueryId> due;
+    for (const auto& [density, seq, id] : line_)
+      if (give_up_at(queries_.at(id)) <= now) due.push_back(id);
+    for (const QueryId id : due) {
+      Held& h = queries_.at(id);
+      if (h.in_flight() > 0) {  // only the second copy is given up
+        unhold(h);
+        continue;
+      }
+      answer(now, h, sink);
+      forget_if_over(now, id);
+    }
+  }
+
+  // Places held queries, those with most worth per CPU second first.
+  void pump(TimeUs now, ActionSink& sink) {
+    size_t tried = 0;
+    for (auto it = line_.begin(); it != line_.end() && tried < kScanMost;) {
+      Held& h = queries_.at(std::get<2>(*it));
+      ++it;
+      ++tried;
+      if (Engine* e = route(h, now)) {
+        unhold(h);
+        send(now, h, *e, sink);
+      }
+    }
+  }
+
+  // --- The guard: every send passes here; rules 2 to 7 ---------------------------------------------------
+  bool may_send(const Held& h, const Engine& e, TimeUs now) {
+    const ClassSettings& c = cls(h);
+    if (h.ended || now >= h.deadline) return false;
+    if (static_cast<int>(h.attempts.size()) >= s_.limits.max_attempts) return false;
+    return e.listed  // rule 3: from the moment a drain is told, well inside the grace
+           && effect_allows(h, c, e, now) && placement_allows(c, e) && order_allows(h, c, now) &&
+           ration_allows(h, now) && cold_allows(h, e, now);
+  }
+
+  bool effect_allows(const Held& h, const ClassSettings& c, const Engine& e, TimeUs now) const {  // rule 2
+    if (!s_.limits.second_copies && h.in_flight() > 0) return false;
+    for (const Attempt& a : h.attempts) {
+      if ((!a.open && never_ran(a.outcome)) || c.effect == Effect::kIdempotent) continue;
+      if (c.effect == Effect::kAtMostOnce) return false;
+      if (c.repeat_scope == RepeatScope::kZone && a.zone != e.entry.zone) return false;
+      if (c.repeat_scope == RepeatScope::kCell && a.cell != e.entry.cell) return false;
+      if (now >= a.sent_at + c.repeat_window) return false;
+    }
+    return true;
+  }
+
+  static bool placement_allows(const ClassSettings& c, const Engine& e) {  // rule 6
+    const auto has = [](const auto& list, const std::string& x) {
+      return !list || std::find(list->begin(), list->end(), x) != list->end();
+    };
+    return has(c.zones, e.entry.zone) && has(c.kinds, e.entry.kind);
+  }
+
+  bool order_allows(const Held& h, const ClassSettings& c, TimeUs now) const {  // rule 5
+    if (!c.in_order || h.q.key.empty()) return true;
+    const KeyLine& k = keys_.at(h.q.key);
+    return !k.line.empty() && k.line.front() == h.q.id && now >= k.rest_until;
+  }
+
+  bool ration_allows(const Held& h, TimeUs now) {  // rule 7
+    if (h.attempts.empty() || !s_.rules.attempts_rationed) return true;
+    while (!taken_.empty() && taken_.front() <= now - s_.rules.extra_window) taken_.pop_front();
+    while (!extras_.empty() && extras_.front() < now - s_.rules.extra_window) extras_.pop_front();
+    return static_cast<double>(extras_.size()) + 1 <=
+           s_.rules.extra_free + s_.rules.extra_share * static_cast<double>(taken_.size());
+  }
+
+  bool cold(const Engine& e, TimeUs now) const {
+    return s_.rules.fall_multiple > 0 && e.entry.started_at > 0 &&
+           static_cast<double>(now - e.entry.started_at) <
+               kColdKeepWarm * static_cast<double>(s_.rules.cold_for);
+  }
+
+  // Rule 4: all gateways together; each keeps to an even part of the allowance, in any window.
+  bool cold_allows(const Held& h, const Engine& e, TimeUs now) const {
+    if (!cold(e, now)) return true;
+    double recent = h.cost;
+    for (const auto& [at, work] : e.sent)
+      if (at > now - s_.rules.fall_window) recent += work;
+    const double warm = std::clamp(static_cast<double>(now - e.entry.started_at) /
+                                       (kColdKeepWarm * static_cast<double>(s_.rules.cold_for)),
+                                   0.0, 1.0);
+    const double capacity = e.cores * (s_.rules.cold_from + (1 - s_.rules.cold_from) * warm * warm);
+    return recent <= kColdShare * s_.rules.fall_multiple * capacity *
+                         static_cast<double>(s_.rules.fall_window) / s_.gateways;
+  }
+
+  // --- Attempts and answers -------------------------------------------------------------------------------
+  void send(TimeUs now, Held& h, Engine& e, ActionSink& sink) {
+    if (!may_send(h, e, now)) return hold(h);
+    const ClassSettings& c = cls(h);
+    if (!h.attempts.empty()) extras_.push_back(now);
+    Attempt a;
+    a.engine = e.entry.id;
+    a.zone = e.entry.zone;
+    a.cell = e.entry.cell;
+    a.sent_at = now;
+    a.charge = h.cost;
+    a.grant_mb = grant_for(h, e);
+    const int priority = s_.priorities ? priority_for(h) : 1;
+    if (a.grant_mb > 0 || priority != 1) sink.set_terms(h.q.id, priority, std::floor(a.grant_mb));
+    if (!h.q.tenant.empty()) budget(e, h.q.tenant, now) -= a.charge;
+    e.threads += c.threads;
+    e.granted_mb += a.grant_mb;
+    if (c.load) ++e.loads[h.q.table_group];
+    if (cold(e, now)) {
+      while (!e.sent.empty() && e.sent.front().first < now - 2 * s_.rules.fall_window) e.sent.pop_front();
+      e.sent.emplace_back(now, h.cost);
+    }
+    if (e.out.empty()) e.last_sign = std::max(e.last_sign, now);
+    e.out.insert({h.q.id, static_cast<int>(h.attempts.size())});
+    if (e.suspect) e.next_trial = now + e.trial_wait;
+    h.attempts.push_back(std::move(a));
+    sink.send(h.q.id, e.entry.id, h.deadline);
+  }
+
+  // Short cores and disks go first to what earns most for them.
+  int priority_for(const Held& h) const {
+    const double r = h.density / std::max(mean_density_, 1e-9);
+    return r >= 2 ? 3 : r >= 0.7 ? 2 : r >= 0.25 ? 1 : 0;
+  }
+
+  // After an outcome that did not end the query: try again where the rules allow it, else answer now.
+  void next_step(TimeUs now, Held& h, ActionSink& sink) {
+    if (h.waiting || h.in_flight() > 0) return;
+    const bool tries_left = static_cast<int>(h.attempts.size()) < s_.limits.max_attempts;
+    const bool may_repeat = std::any_of(engines_.begin(), engines_.end(), [&](const auto& p) {
+      return effect_allows(h, cls(h), p.second, now) && placement_allows(cls(h), p.second);
+    });
+    if (tries_left && may_repeat && now < give_up_at(h)) {
+      hold(h);
+      sink.set_timer(give_up_at(h) - now, kTokenWake);
+    } else {
+      answer(now, h, sink);
+    }
+  }
+
+  bool may_refuse(const Held& h) const {
+    const ClassSettings& c = cls(h);
+    if (c.effect == Effect::kIdempotent) return true;
+    if (c.effect == Effect::kDeduplicated && c.repeat_scope == RepeatScope::kAll) return true;
+    return std::all_of(h.attempts.begin(), h.attempts.end(),
+                       [](const Attempt& a) { return !a.open && never_ran(a.outcome); });
+  }
+
+  // Rule 1: the one place that gives a final answer, at once when the module has given up.
+  void answer(TimeUs now, Held& h, ActionSink& sink) {
+    if (h.ended) return;
+    const bool refuse = may_refuse(h);
+    end(h);
+    cancel_open(h, sink);
+    if (!refuse) return sink.fail(h.q.id);
+    const TimeUs to_reset = kWindow - (now - started_at_) % kWindow;
+    sink.refuse(h.q.id, s_.limits.retry_after ? std::min(to_reset, s_.limits.max_retry_after) : 0);
+  }
+
+  void end(Held& h) {
+    h.ended = true;
+    if (h.waiting) unhold(h);
+  }
+
+  void cancel_open(Held& h, ActionSink& sink) {
+    for (size_t i = 0; i < h.attempts.size(); ++i)
+      if (h.attempts[i].open && s_.limits.cancel) sink.cancel(h.q.id, static_cast<int>(i));
+  }
+
+  void forget_if_over(TimeUs now, QueryId id) {
+    const auto it = queries_.find(id);
+    if (it == queries_.end() || !it->second.ended || it->second.in_flight() > 0) return;
+    const Held& h = it->second;
+    if (cls(h).in_order && !h.q.key.empty()) {
+      KeyLine& k = keys_.at(h.q.key);
+      std::erase(k.line, id);
+      const bool unsure = std::any_of(h.attempts.begin(), h.attempts.end(),
+                                      [](const Attempt& a) { return may_still_run(a.outcome); });
+      if (unsure) k.rest_until = std::max(k.rest_until, now + s_.rules.key_rest);
+      if (k.line.empty() && k.rest_until <= now) keys_.erase(h.q.key);
+    }
+    queries_.erase(it);
+  }
+
+  // --- Engine health --------------------------------------------------------------------------------------
+  // A suspect engine gets one trial query at a time, of a class that is safe to repeat.
+  bool healthy(const Engine& e, const Held& h, TimeUs now) const {
+    if (!e.suspect) return true;
+    return cls(h).effect == Effect::kIdempotent && h.attempts.empty() && now >= e.next_trial;
+  }
+
+  void clear_suspicion(Engine& e) {
+    e.suspect = false;
+    e.errors = 0;
+    e.trial_wait = kTrialFirst;
+  }
+
+  void suspect(Engine& e, TimeUs now) {
+    if (e.suspect) e.trial_wait = std::min(2 * e.trial_wait, kTrialMost);
+    e.suspect = true;
+    e.next_trial = now + e.trial_wait;
+  }
+
+  void judge(TimeUs now, const Attempt& a, const Outcome& o) {
+    const auto it = engines_.find(a.engine);
+    if (it == engines_.end()) return;
+    Engine& e = it->second;
+    if (o.kind == OutcomeKind::kOk) {
+      e.last_sign = now;
+      e.errors *= 1 - kErrorWeight;
+      if (e.suspect && e.errors < kErrorShare) clear_suspicion(e);
+    } else if (o.kind == OutcomeKind::kFull) {
+      e.last_full = now;
+    } else if (o.kind == OutcomeKind::kError) {
+      e.last_sign = now;
+      e.errors += kErrorWeight * (1 - e.errors);
+      if (e.errors > kErrorShare) suspect(e, now);
+    } else if (o.kind == OutcomeKind::kConnectFailed || o.kind == OutcomeKind::kReset) {
+      suspect(e, now);
+    }
+  }
+
+  // Guards against an engine that takes work and answers nothing: budgets alone would reopen it at each
+  // reset. It is silent when a query is long overdue there and nothing else came back since it was sent.
+  void watch_silence(TimeUs now, ActionSink& sink) {
+    for (auto& [id, e] : engines_) {
+      if (e.out.empty()) continue;
+      bool silent = false;
+      for (const auto& [qid, n] : e.out) {
+        const Held& h = queries_.at(qid);
+        const Attempt& a = h.attempts[static_cast<size_t>(n)];
+        if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
+        const TimeUs since = std::max(a.sent_at, e.last_sign);
+        const double expected = kSilenceFactor * std::max(e.slowdown, 1.0) * ideal(h);
+        const double patience = s_.progress_interval > 0
+                                    ? kNotesMissed * static_cast<double>(s_.progress_interval)
+                                    : std::max(expected, static_cast<double>(kSilenceFloor));
+        silent = silent || static_cast<double>(now - since) > patience;
+      }
+      if (!silent) continue;
+      suspect(e, now);
+      const auto out = e.out;
+      for (const auto& [qid, n] : out) rescue(now, queries_.at(qid), n, sink);
+    }
+  }
+
+  // A query stuck on a silent engine goes elsewhere, as a second copy or after a cancel.
+  void rescue(TimeUs now, Held& h, int n, ActionSink& sink) {
+    Attempt& a = h.attempts[static_cast<size_t>(n)];
+    if (a.given_up) return;
+    a.given_up = true;
+    if (h.ended || cls(h).effect == Effect::kAtMostOnce) return;
+    if (s_.limits.cancel) {
+      sink.cancel(h.q.id, n);
+    } else if (s_.limits.second_copies && !h.waiting && now < give_up_at(h)) {
+      hold(h);
+    }
+  }
+
+  Settings s_;
+  bool started_ = false;
+  TimeUs started_at_ = 0;
+  TimeUs ask_again_ = 0;
+  double quota_ = 0;
+  std::uint64_t seq_ = 0;
+  double mean_value_ = 0, mean_work_ = 0, mean_density_ = 0;
+  std::map<EngineId, Engine> engines_;
+  std::map<QueryId, Held> queries_;
+  std::map<std::string, KeyLine> keys_;
+  std::set<std::tuple<double, std::uint64_t, QueryId>> line_;
+  std::vector<Learned> learned_;
+  std::deque<TimeUs> arrivals_, taken_, extras_;
+};
+
+}  // namespace
+
+std::unique_ptr<DecisionModule> make_workload_budget(const Settings& settings, std::uint64_t /*seed*/) {
+  return std::make_unique<WorkloadBudget>(settings);
+}
+
+}  // namespace orchidgw
--- /dev/null
+++ b/src/sim/codec.h
@@ -0,0 +1,80 @@
+// The bench's wire, as JSON lines: typed reading of one event's values, settings, and the reply's actions.
+#pragma once
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "decision/decision.h"
+
+namespace orchidgw::sim {
+
+// What is wrong with one value: says which field and why.
+class WireError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// The values of one event, read by position; names serve the messages.
+class Fields {
+ public:
+  explicit Fields(const rapidjson::Value& message) : message_(message) {}
+  bool absent(rapidjson::SizeType at) const;
+  std::string text(rapidjson::SizeType at, const char* name) const;
+  std::string text_or_empty(rapidjson::SizeType at, const char* name) const;
+  std::int64_t integer(rapidjson::SizeType at, const char* name) const;
+  std::int64_t integer_or(rapidjson::SizeType at, const char* name, std::int64_t otherwise) const;
+  QueryId query(rapidjson::SizeType at, const char* name) const;
+  double number(rapidjson::SizeType at, const char* name) const;
+  double number_or(rapidjson::SizeType at, const char* name, double otherwise) const;
+  bool flag(rapidjson::SizeType at, const char* name) const;
+  bool flag_or(rapidjson::SizeType at, const char* name, bool otherwise) const;
+  LoadReport report(rapidjson::SizeType at, const char* name) const;
+  const rapidjson::Value& object(rapidjson::SizeType at, const char* name) const;
+  const rapidjson::Value& array(rapidjson::SizeType at, const char* name) const;
+
+ private:
+  const rapidjson::Value& at(rapidjson::SizeType at, const char* name) const;
+  const rapidjson::Value& message_;
+};
+
+Settings read_settings(const rapidjson::Value& env);
+std::vector<EngineEntry> read_entries(const rapidjson::Value& list);
+OutcomeKind read_outcome_kind(std::int64_t code);
+
+std::string to_base64(const std::string& bytes);
+std::string from_base64(const std::string& text);
+
+// Writes one reply; actions are those of the instance named last.
+class Reply final : public ActionSink {
+ public:
+  Reply();
+  void begin_instance(const std::string& name) { instance_ = name; }
+  void fault(const std::string& why);
+  std::string finish();
+
+  void send(QueryId query, const EngineId& engine, TimeUs stop_at) override;
+  void refuse(QueryId query, TimeUs retry_after) override;
+  void fail(QueryId query) override;
+  void cancel(QueryId query, int attempt) override;
+  void set_terms(QueryId query, int priority, double grant_mb) override;
+  void probe(const EngineId& engine) override;
+  void subscribe() override;
+  void fetch_list() override;
+  void tell_all(const std::string& bytes) override;
+  void set_timer(TimeUs delay, std::uint64_t token) override;
+  void log(const std::string& text) override;
+
+ private:
+  void open(const char* word);
+  void text(const std::string& value);
+  rapidjson::StringBuffer buffer_;
+  rapidjson::Writer<rapidjson::StringBuffer> writer_{buffer_};
+  std::string instance_;
+};
+
+}  // namespace orchidgw::sim
--- /dev/null
+++ b/tests/module_test.cpp
@@ -0,0 +1,578 @@
+// The decision module alone: a recording sink and a clock moved by hand.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "decision/decision.h"
+
+namespace orchidgw {
+namespace {
+
+constexpr TimeUs kMs = 1000;
+constexpr TimeUs kSecond = 1'000'000;
+
+struct Sent {
+  QueryId query;
+  EngineId engine;
+  TimeUs at;
+};
+
+class FakeSink : public ActionSink {
+ public:
+  void send(QueryId q, const EngineId& e, TimeUs) override { sent.push_back({q, e, now}); }
+  void refuse(QueryId q, TimeUs after) override { refused[q] = after; }
+  void fail(QueryId q) override { failed.insert(q); }
+  void cancel(QueryId q, int a) override { cancelled.emplace_back(q, a); }
+  void set_terms(QueryId q, int p, double mb) override { terms[q] = {p, mb}; }
+  void probe(const EngineId&) override {}
+  void subscribe() override { ++subscribed; }
+  void fetch_list() override {}
+  void tell_all(const std::string&) override {}
+  void set_timer(TimeUs delay, std::uint64_t token) override { timers.emplace(now + delay, token); }
+  void log(const std::string&) override {}
+
+  TimeUs now = 0;
+  std::vector<Sent> sent;
+  std::map<QueryId, TimeUs> refused;
+  std::set<QueryId> failed;
+  std::vector<std::pair<QueryId, int>> cancelled;
+  std::map<QueryId, std::pair<int, double>> terms;
+  std::multimap<TimeUs, std::uint64_t> timers;
+  int subscribed = 0;
+};
+
+ClassSettings plain_class() {
+  ClassSettings c;
+  c.name = "short";
+  c.aim = 1 * kSecond;
+  c.aim_stretch = 2;
+  c.deadline = 5 * kSecond;
+  c.effect = Effect::kIdempotent;
+  c.repeat_window = 3 * kSecond;
+  return c;
+}
+
+class Module : public ::testing::Test {
+ protected:
+  Module() {
+    s.gateways = 1;
+    s.classes = {plain_class()};
+    s.kinds = {{"big", 8, 16000}, {"small", 4, 8000}};
+    s.limits.max_attempts = 4;
+    s.limits.cancel = true;
+    s.limits.retry_after = true;
+    s.limits.max_retry_after = 700 * kMs;
+  }
+
+  void begin(int engines, TimeUs started_at = 0) {
+    module = make_workload_budget(s, 7);
+    for (int i = 0; i < engines; ++i) list.push_back(engine(i, started_at));
+    module->on_engines(sink.now, ListKind::kStored, list, sink);
+  }
+
+  static EngineEntry engine(int i, TimeUs started_at = 0) {
+    EngineEntry e;
+    e.id = "10.0.0." + std::to_string(i + 1) + ":9000";
+    e.zone = i % 2 == 0 ? "east" : "west";
+    e.kind = i % 2 == 0 ? "big" : "small";
+    e.cell = i;
+    e.started_at = started_at;
+    return e;
+  }
+
+  Query query(QueryId id, std::int64_t group = 1) const {
+    Query q;
+    q.id = id;
+    q.table_group = group;
+    q.time_budget = 4 * kSecond;
+    q.cost_estimate = 100 * kMs;
+    return q;
+  }
+
+  void take(const Query& q) { module->on_query(sink.now, q, sink); }
+
+  void run_until(TimeUs t) {
+    while (!sink.timers.empty() && sink.timers.begin()->first <= t) {
+      const auto [at, token] = *sink.timers.begin();
+      sink.timers.erase(sink.timers.begin());
+      sink.now = std::max(sink.now, at);
+      module->on_timer(sink.now, token, sink);
+    }
+    sink.now = t;
+  }
+
+  void answer(size_t nth, OutcomeKind kind, TimeUs told_cost = 0) {
+    const Sent one = sink.sent.at(nth);
+    Outcome o;
+    o.query = one.query;
+    o.engine = one.engine;
+    o.attempt = static_cast<int>(std::count_if(sink.sent.begin(), sink.sent.begin() + static_cast<long>(nth),
+                                               [&](const Sent& x) { return x.query == one.query; }));
+    o.kind = kind;
+    o.latency = sink.now - one.at;
+    o.ended = kind == OutcomeKind::kOk;
+    if (told_cost > 0) o.told_cost = told_cost;
+    module->on_outcome(sink.now, o, sink);
+  }
+
+  bool finished(QueryId q) const { return sink.refused.count(q) + sink.failed.count(q) > 0; }
+
+  size_t sends_of(QueryId q) const {
+    return static_cast<size_t>(
+        std::count_if(sink.sent.begin(), sink.sent.end(), [&](const Sent& x) { return x.query == q; }));
+  }
+
+  Settings s;
+  FakeSink sink;
+  std::unique_ptr<DecisionModule> module;
+  std::vector<EngineEntry> list;
+};
+
+// --- Ordinary path ---
+
+TEST_F(Module, SendsOneTableGroupToOneHomeWhateverTheListOrder) {
+  begin(6);
+  for (QueryId i = 1; i <= 5; ++i) take(query(i, 42));
+  std::set<EngineId> homes;
+  for (const auto& x : sink.sent) homes.insert(x.engine);
+  ASSERT_EQ(sink.sent.size(), 5u);
+  EXPECT_EQ(homes.size(), 1u);
+  auto other = make_workload_budget(s, 99);
+  std::reverse(list.begin(), list.end());
+  FakeSink there;
+  other->on_engines(0, ListKind::kStored, list, there);
+  other->on_query(0, query(1, 42), there);
+  ASSERT_EQ(there.sent.size(), 1u);
+  EXPECT_EQ(there.sent[0].engine, *homes.begin());
+}
+
+TEST_F(Module, AnEngineThatJoinsTakesOnlyGroupsThatNowRankItFirst) {
+  begin(6);
+  std::map<std::int64_t, EngineId> before;
+  for (QueryId i = 1; i <= 40; ++i) take(query(i, i));
+  for (const auto& x : sink.sent) before[x.query] = x.engine;
+  list.push_back(engine(6));
+  auto other = make_workload_budget(s, 1);
+  FakeSink there;
+  other->on_engines(0, ListKind::kFull, list, there);
+  for (QueryId i = 1; i <= 40; ++i) other->on_query(0, query(i, i), there);
+  ASSERT_EQ(there.sent.size(), 40u);
+  int moved = 0;
+  for (const auto& x : there.sent)
+    if (x.engine != before[x.query]) {
+      ++moved;
+      EXPECT_EQ(x.engine, engine(6).id);
+    }
+  EXPECT_GT(moved, 0);
+  EXPECT_LT(moved, 20);
+}
+
+TEST_F(Module, OverBudgetTenantIsHeldOnlyOnceTheBoundIsReachedAndResetReopens) {
+  s.tenants = {{"a", 1, 0}};
+  begin(1);
+  // The budget is 8 cores x 5 s; one query spends it all and more.
+  Query q = query(1);
+  q.tenant = "a";
+  q.cost_estimate = 45 * kSecond;
+  q.time_budget = 60 * kSecond;
+  take(q);
+  ASSERT_EQ(sends_of(1), 1u);
+  for (QueryId i = 2; i <= 30; ++i) {
+    Query r = query(i);
+    r.tenant = "a";
+    take(r);
+  }
+  const size_t while_over = sink.sent.size();
+  EXPECT_LT(while_over, 30u);  // over budget and past the bound: held
+  EXPECT_GT(while_over, 1u);   // under the bound it still goes
+  sink.timers.clear();
+  module->on_timer(sink.now, 2, sink);
+  EXPECT_EQ(sink.sent.size(), 30u);
+}
+
+TEST_F(Module, UntaggedQueriesSkipBudgets) {
+  s.tenants = {{"a", 1, 0}};
+  begin(1);
+  for (QueryId i = 1; i <= 50; ++i) {
+    Query q = query(i);
+    q.cost_estimate = 10 * kSecond;
+    q.time_budget = 60 * kSecond;
+    take(q);
+  }
+  EXPECT_EQ(sink.sent.size(), 50u);
+}
+
+TEST_F(Module, HeldQueryIsRefusedOnceItsAimCannotBeMetWithRetryAfter) {
+  begin(0);
+  take(query(1));
+  EXPECT_FALSE(finished(1));
+  run_until(1500 * kMs);
+  ASSERT_EQ(sink.refused.count(1), 1u);
+  EXPECT_GT(sink.refused[1], 0);
+  EXPECT_LE(sink.refused[1], s.limits.max_retry_after);
+}
+
+TEST_F(Module, NoRetryAfterWhereClientsDoNotReceiveIt) {
+  s.limits.retry_after = false;
+  begin(0);
+  take(query(1));
+  run_until(4 * kSecond);
+  ASSERT_EQ(sink.refused.count(1), 1u);
+  EXPECT_EQ(sink.refused[1], 0);
+}
+
+// --- Rule 1 ---
+
+TEST_F(Module, ShortTimeBudgetIsAnsweredBeforeItEnds) {
+  s.classes[0].aim = 4 * kSecond;
+  begin(0);
+  Query q = query(1);
+  q.time_budget = 300 * kMs;
+  take(q);
+  run_until(299 * kMs);
+  EXPECT_TRUE(finished(1));
+}
+
+TEST_F(Module, TimeoutAtTheDeadlineStillGetsAnAnswerAndNothingFollows) {
+  s.classes[0].effect = Effect::kAtMostOnce;
+  begin(2);
+  take(query(1));
+  run_until(4 * kSecond);
+  answer(0, OutcomeKind::kTimeout);
+  EXPECT_EQ(sink.failed.count(1), 1u);
+  run_until(10 * kSecond);
+  EXPECT_EQ(sends_of(1), 1u);
+  EXPECT_EQ(sink.refused.count(1), 0u);
+}
+
+TEST_F(Module, ClientGoneEndsAHeldQueryWithoutAnswerOrSend) {
+  begin(0);
+  take(query(1));
+  module->on_client_gone(sink.now, 1, sink);
+  list = {engine(0)};
+  module->on_engines(sink.now, ListKind::kFull, list, sink);
+  run_until(6 * kSecond);
+  EXPECT_TRUE(sink.sent.empty());
+  EXPECT_FALSE(finished(1));
+}
+
+TEST_F(Module, EveryQueryGetsExactlyOneEndUnderMixedOutcomes) {
+  begin(3);
+  for (QueryId i = 1; i <= 60; ++i) take(query(i, i % 5));
+  const std::vector<OutcomeKind> kinds = {OutcomeKind::kError, OutcomeKind::kFull, OutcomeKind::kReset,
+                                          OutcomeKind::kOk, OutcomeKind::kConnectFailed};
+  std::set<QueryId> served;
+  size_t nth = 0;
+  for (int step = 0; step < 400; ++step) {
+    run_until(sink.now + 15 * kMs);
+    for (; nth < sink.sent.size(); ++nth) {
+      const auto kind = kinds[(nth * 7 + static_cast<size_t>(step)) % kinds.size()];
+      const QueryId q = sink.sent[nth].query;
+      EXPECT_FALSE(finished(q)) << "sent after its answer";
+      answer(nth, kind);
+      if (kind == OutcomeKind::kOk) served.insert(q);
+    }
+  }
+  for (QueryId i = 1; i <= 60; ++i) {
+    const size_t ends = served.count(i) + sink.refused.count(i) + sink.failed.count(i);
+    EXPECT_EQ(ends, 1u) << "query " << i;
+  }
+}
+
+// --- Rule 2: every outcome by every effect class ---
+
+struct EffectCase {
+  Effect effect;
+  RepeatScope scope;
+  OutcomeKind outcome;
+  bool again;    // another send is allowed somewhere
+  bool refusal;  // a refusal is allowed
+};
+
+class Effects : public Module, public ::testing::WithParamInterface<EffectCase> {};
+
+TEST_P(Effects, RepeatsAndRefusesOnlyWhereAllowed) {
+  const EffectCase& c = GetParam();
+  s.classes[0].effect = c.effect;
+  s.classes[0].repeat_scope = c.scope;
+  begin(4);
+  take(query(1));
+  ASSERT_EQ(sends_of(1), 1u);
+  const EngineEntry* first = nullptr;
+  for (const auto& e : list)
+    if (e.id == sink.sent[0].engine) first = &e;
+  ASSERT_NE(first, nullptr);
+  sink.now += 50 * kMs;
+  answer(0, c.outcome);
+  run_until(sink.now + 5 * kSecond);
+  if (!c.again) {
+    EXPECT_EQ(sends_of(1), 1u);
+  }
+  if (c.again) {
+    EXPECT_GT(sends_of(1), 1u);
+  }
+  const bool ran = c.outcome != OutcomeKind::kFull && c.outcome != OutcomeKind::kConnectFailed &&
+                   c.outcome != OutcomeKind::kMoot;
+  for (size_t i = 1; i < sink.sent.size(); ++i) {
+    const auto there =
+        std::find_if(list.begin(), list.end(), [&](auto& e) { return e.id == sink.sent[i].engine; });
+    if (ran && c.scope == RepeatScope::kZone) {
+      EXPECT_EQ(there->zone, first->zone);
+    }
+    if (ran && c.scope == RepeatScope::kCell) {
+      EXPECT_EQ(there->cell, first->cell);
+    }
+  }
+  if (!c.refusal) {
+    EXPECT_EQ(sink.refused.count(1), 0u);
+  }
+}
+
+constexpr auto kSafe = Effect::kIdempotent;
+constexpr auto kKeyed = Effect::kDeduplicated;
+constexpr auto kUnsafe = Effect::kAtMostOnce;
+INSTANTIATE_TEST_SUITE_P(
+    AllOutcomes, Effects,
+    ::testing::Values(EffectCase{kSafe, RepeatScope::kAll, OutcomeKind::kError, true, true},
+                      EffectCase{kSafe, RepeatScope::kAll, OutcomeKind::kFull, true, true},
+                      EffectCase{kSafe, RepeatScope::kAll, OutcomeKind::kTimeout, true, true},
+                      EffectCase{kSafe, RepeatScope::kAll, OutcomeKind::kReset, true, true},
+                      EffectCase{kSafe, RepeatScope::kAll, OutcomeKind::kConnectFailed, true, true},
+                      EffectCase{kSafe, RepeatScope::kAll, OutcomeKind::kCancelled, true, true},
+                      EffectCase{kKeyed, RepeatScope::kAll, OutcomeKind::kError, true, true},
+                      EffectCase{kKeyed, RepeatScope::kZone, OutcomeKind::kError, true, false},
+                      EffectCase{kKeyed, RepeatScope::kZone, OutcomeKind::kReset, true, false},
+                      EffectCase{kKeyed, RepeatScope::kZone, OutcomeKind::kFull, true, true},
+                      EffectCase{kKeyed, RepeatScope::kCell, OutcomeKind::kTimeout, true, false},
+                      EffectCase{kKeyed, RepeatScope::kCell, OutcomeKind::kCancelled, true, false},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kError, false, false},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kTimeout, false, false},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kReset, false, false},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kCancelled, false, false},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kFull, true, true},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kConnectFailed, true, true},
+                      EffectCase{kUnsafe, RepeatScope::kAll, OutcomeKind::kMoot, true, true}));
+
+TEST_F(Module, KeyedQueryIsNotSentAgainOnceTheRepeatWindowHasPassed) {
+  s.classes[0].effect = Effect::kDeduplicated;
+  s.classes[0].aim = 5 * kSecond;
+  s.classes[0].repeat_window = 1 * kSecond;
+  begin(3);
+  take(query(1));
+  run_until(1100 * kMs);
+  const size_t before = sends_of(1);
+  answer(before - 1, OutcomeKind::kError);
+  run_until(5 * kSecond);
+  EXPECT_EQ(sends_of(1), before);
+  EXPECT_TRUE(finished(1));
+}
+
+// --- Rule 3 ---
+
+TEST_F(Module, NothingGoesToADrainingOrDepartedEngineAlsoForHeldQueries) {
+  begin(2);
+  list[0].state = EngineState::kDraining;
+  module->on_engines(sink.now, ListKind::kDelta, {list[0]}, sink);
+  for (QueryId i = 1; i <= 20; ++i) take(query(i, i));
+  for (const auto& x : sink.sent) EXPECT_EQ(x.engine, list[1].id);
+  const size_t before = sink.sent.size();
+  ASSERT_EQ(before, 20u);
+  module->on_engines(sink.now, ListKind::kFull, {}, sink);
+  for (QueryId i = 21; i <= 30; ++i) take(query(i, i));
+  answer(0, OutcomeKind::kFull);
+  run_until(5 * kSecond);
+  EXPECT_EQ(sink.sent.size(), before);
+}
+
+// --- Rule 4 ---
+
+TEST_F(Module, AColdEngineGetsNoMoreThanItsPartInAnyWindow) {
+  s.gateways = 4;
+  s.rules.fall_multiple = 2;
+  s.rules.fall_window = 2 * kSecond;
+  s.rules.cold_from = 0.3;
+  s.rules.cold_for = 10 * kSecond;
+  sink.now = 100 * kSecond;
+  begin(1, 100 * kSecond);
+  for (QueryId i = 1; i <= 200; ++i) {
+    take(query(i));
+    run_until(sink.now + 10 * kMs);
+  }
+  // All four together may send 2 x 0.3 x 8 cores x 2 s = 9.6 s of work; this one 2.4 s: 24 queries.
+  EXPECT_GT(sink.sent.size(), 0u);
+  EXPECT_LE(sink.sent.size(), 24u);
+}
+
+TEST_F(Module, AnEngineBackWithANewStartTimeIsColdAgain) {
+  s.rules.fall_multiple = 2;
+  s.rules.fall_window = 1 * kSecond;
+  s.rules.cold_from = 0.3;
+  s.rules.cold_for = 10 * kSecond;
+  sink.now = 100 * kSecond;
+  begin(1, 0);
+  list[0].started_at = sink.now;
+  module->on_engines(sink.now, ListKind::kDelta, {list[0]}, sink);
+  Query q = query(1);
+  q.cost_estimate = 6 * kSecond;  // more than 2 x 0.3 x 8 x 1 s
+  take(q);
+  EXPECT_TRUE(sink.sent.empty());
+}
+
+// --- Rule 5 ---
+
+TEST_F(Module, QueriesOfOneKeyRunInTurnAndTheKeyRestsAfterAnUnsureEnd) {
+  s.classes[0].in_order = true;
+  s.classes[0].effect = Effect::kAtMostOnce;
+  s.classes[0].aim = 5 * kSecond;
+  s.rules.key_rest = 500 * kMs;
+  begin(4);
+  for (QueryId i = 1; i <= 3; ++i) {
+    Query q = query(i, i);
+    q.key = "k";
+    take(q);
+  }
+  Query other = query(9);
+  other.key = "x";
+  take(other);
+  EXPECT_EQ(sends_of(1), 1u);
+  EXPECT_EQ(sends_of(2), 0u);
+  EXPECT_EQ(sends_of(9), 1u);
+  sink.now += 100 * kMs;
+  answer(0, OutcomeKind::kReset);
+  EXPECT_EQ(sink.failed.count(1), 1u);
+  run_until(sink.now + 490 * kMs);
+  EXPECT_EQ(sends_of(2), 0u);
+  run_until(sink.now + 50 * kMs);
+  EXPECT_EQ(sends_of(2), 1u);
+  EXPECT_EQ(sends_of(3), 0u);
+}
+
+TEST_F(Module, AKeyWaitsForTheLastOutcomeOfAQueryItsClientLeft) {
+  s.classes[0].in_order = true;
+  s.classes[0].effect = Effect::kAtMostOnce;
+  s.limits.cancel = false;
+  begin(4);
+  for (QueryId i = 1; i <= 2; ++i) {
+    Query q = query(i, i);
+    q.key = "k";
+    take(q);
+  }
+  module->on_client_gone(sink.now, 1, sink);
+  EXPECT_EQ(sends_of(2), 0u);
+  answer(0, OutcomeKind::kOk);
+  EXPECT_EQ(sends_of(2), 1u);
+}
+
+// --- Rule 6 ---
+
+TEST_F(Module, PlacementByZoneByKindAndByBothHoldsAtEveryAttempt) {
+  for (int mode = 0; mode < 3; ++mode) {
+    SCOPED_TRACE(mode);
+    sink = FakeSink();
+    list.clear();
+    s.classes[0].zones.reset();
+    s.classes[0].kinds.reset();
+    if (mode != 1) s.classes[0].zones = {{"west"}};
+    if (mode != 0) s.classes[0].kinds = {{"small"}};
+    begin(4);
+    for (QueryId i = 1; i <= 20; ++i) take(query(i, i));
+    for (size_t i = 0; i < sink.sent.size() && i < 30; ++i) answer(i, OutcomeKind::kFull);
+    ASSERT_FALSE(sink.sent.empty());
+    for (const auto& x : sink.sent) EXPECT_TRUE(x.engine == list[1].id || x.engine == list[3].id);
+  }
+}
+
+TEST_F(Module, ABoundQueryIsHeldAndRefusedWhenNoAllowedEngineIsThere) {
+  s.classes[0].zones = {{"nowhere"}};
+  begin(4);
+  take(query(1));
+  run_until(5 * kSecond);
+  EXPECT_TRUE(sink.sent.empty());
+  EXPECT_EQ(sink.refused.count(1), 1u);
+}
+
+// --- Rule 7 ---
+
+TEST_F(Module, FurtherAttemptsStayWithinTheRation) {
+  s.rules.attempts_rationed = true;
+  s.rules.extra_free = 2;
+  s.rules.extra_share = 0.2;
+  s.rules.extra_window = 10 * kSecond;
+  begin(5);
+  for (QueryId i = 1; i <= 20; ++i) take(query(i, i));
+  ASSERT_EQ(sink.sent.size(), 20u);
+  for (size_t i = 0; i < sink.sent.size() && i < 60; ++i) answer(i, OutcomeKind::kFull);
+  run_until(800 * kMs);
+  const size_t extra = sink.sent.size() - 20;
+  EXPECT_GE(extra, 3u);
+  EXPECT_LE(extra, 6u);
+}
+
+// --- Health ---
+
+TEST_F(Module, AHungEngineStaysClosedOverBudgetResetsButForTrials) {
+  s.tenants = {{"a", 1, 100}};
+  begin(3);
+  Query probe_query = query(1, 3);
+  probe_query.tenant = "a";
+  take(probe_query);
+  const EngineId hung = sink.sent.at(0).engine;
+  size_t nth = 0, to_hung = 0;
+  QueryId id = 1;
+  for (int step = 0; step < 800; ++step) {  // 16 s: three resets
+    run_until(sink.now + 20 * kMs);
+    Query q = query(++id, 3);
+    q.tenant = "a";
+    take(q);
+    for (; nth < sink.sent.size(); ++nth) {
+      if (sink.sent[nth].engine != hung) {
+        answer(nth, OutcomeKind::kOk, 100 * kMs);
+      } else if (sink.now > 2 * kSecond) {
+        ++to_hung;
+      }
+    }
+  }
+  EXPECT_LE(to_hung, 12u);  // against 700 that call it home
+  EXPECT_GE(to_hung, 1u);   // it is still tried
+}
+
+TEST_F(Module, AnEngineThatFailsFastIsLeftAndTakenBackAfterAGoodTrial) {
+  begin(3);
+  QueryId id = 0;
+  size_t nth = 0;
+  EngineId bad;
+  size_t late_to_bad = 0, after_recovery = 0;
+  for (int step = 0; step < 1500; ++step) {
+    run_until(sink.now + 20 * kMs);
+    take(query(++id, 3));
+    if (bad.empty()) bad = sink.sent.at(0).engine;
+    for (; nth < sink.sent.size(); ++nth) {
+      const bool failing = sink.now < 10 * kSecond;
+      if (sink.sent[nth].engine == bad && sink.now > 2 * kSecond && failing) ++late_to_bad;
+      if (sink.sent[nth].engine == bad && sink.now > 20 * kSecond) ++after_recovery;
+      answer(nth, sink.sent[nth].engine == bad && failing ? OutcomeKind::kError : OutcomeKind::kOk, 20 * kMs);
+    }
+  }
+  EXPECT_LE(late_to_bad, 12u);
+  EXPECT_GT(after_recovery, 300u);
+}
+
+// --- Discovery that must be asked ---
+
+TEST_F(Module, AsksDiscoveryWhereItMustBeAskedAndAgainAfterAFailure) {
+  s.must_ask_discovery = true;
+  begin(1);
+  EXPECT_EQ(sink.subscribed, 1);
+  module->on_engines(sink.now, ListKind::kError, {}, sink);
+  run_until(3 * kSecond);
+  EXPECT_EQ(sink.subscribed, 2);
+}
+
+TEST_F(Module, UnusableSettingsAreRejected) {
+  s.classes.clear();
+  EXPECT_THROW(make_workload_budget(s, 1), std::invalid_argument);
+}
+
+}  // namespace
+}  // namespace orchidgw
