--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -362,17 +362,25 @@
     std::vector<Engine*> order;
     order.reserve(ranked.size());
     for (auto& r : ranked) order.push_back(r.second);
-    // A load holds its group where it runs. It walks from the far end, each gateway from a place of its
-    // own, so that it stalls neither the readers at the group's home nor the other gateways' loads.
-    if (cls(h).load && !order.empty()) {
+    // A load holds its group where it runs, and readers stand still there. It keeps to the far half of the
+    // group's order, away from the readers' home; each gateway starts at a place of its own, so that
+    // gateways' loads don't queue behind each other; engines that some class is bound to come last.
+    if (cls(h).load && order.size() > 1) {
       std::reverse(order.begin(), order.end());
-      const auto half = std::max<size_t>(order.size() / 2, 1);
-      std::rotate(order.begin(), order.begin() + s_.self % static_cast<int>(half),
-                  order.begin() + static_cast<std::ptrdiff_t>(half));
+      order.resize((order.size() + 1) / 2);
+      std::rotate(order.begin(), order.begin() + s_.self % static_cast<int>(order.size()), order.end());
+      std::stable_partition(order.begin(), order.end(),
+                            [&](const Engine* e) { return !wanted_by_bound(*e); });
     }
     return order;
   }
 
+  bool wanted_by_bound(const Engine& e) const {
+    return std::any_of(s_.classes.begin(), s_.classes.end(), [&](const ClassSettings& c) {
+      return !c.load && (c.zones || c.kinds) && placement_allows(c, e);
+    });
+  }
+
   bool stalled_for(const Held& h, Engine& e, TimeUs now) {
     if (!cls(h).load && !cls(h).waits_for_loads) return false;
     if (e.loads.count(h.q.table_group) > 0) return true;
@@ -386,7 +394,9 @@
       if (x.listed && !x.suspect) sum += x.threads, n += 1;
     const double threads = cls(h).threads;
     const double by_mean = kMeanBound * sum / std::max(n, 1.0) + threads;
-    const double by_cores = std::max(kThreadsPerCore * e.cores * share(now), threads);
+    // Answers slower than the pressure line shrink the bound in proportion (exception "slow answers").
+    const double ease = std::min(1.0, kPressure / std::max(e.slowdown, 0.1));
+    const double by_cores = std::max(kThreadsPerCore * e.cores * share(now) * ease, threads);
     return e.threads + threads <= std::min(by_mean, by_cores) + 1e-9;
   }
 
@@ -402,7 +412,7 @@
         const bool tried = std::any_of(h.attempts.begin(), h.attempts.end(),
                                        [&](const Attempt& a) { return a.engine == e->entry.id; });
         if (pass < 1 && tried) continue;
-        if (pass < 2 && stalled_for(h, *e, now)) continue;
+        if (stalled_for(h, *e, now)) continue;
         if (!healthy(*e, h, now) || !may_send(h, *e, now)) continue;
         const bool under = under_bounds(h, *e, now);
         const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant, now) > 0;
@@ -559,6 +569,7 @@
 
   // Short cores and disks go first to what earns most for them.
   int priority_for(const Held& h) const {
+    if (cls(h).load) return 3;  // the sooner it ends, the less it stalls
     const double r = h.density / std::max(mean_density_, 1e-9);
     return r >= 2 ? 3 : r >= 0.7 ? 2 : r >= 0.25 ? 1 : 0;
   }
