--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -20,6 +20,7 @@
 constexpr TimeUs kWindow = 5'000 * kMs;      // enforcement window (DESIGN)
 constexpr double kMeanBound = 1.25;          // x this gateway's mean threads per engine (DESIGN)
 constexpr double kThreadsPerCore = 2.0;      // threads per core, all gateways together (DESIGN)
+constexpr double kMemoryPart = 1.0;          // of an engine's memory that all gateways' grants may fill
 constexpr double kPressure = 2.0;            // slowdown from which the bounds bind: answers take twice
 constexpr TimeUs kFullMemory = 1'000 * kMs;  // a "full" answer counts as pressure for this long
 constexpr TimeUs kTick = 20 * kMs;           // housekeeping period: expiry of held queries, silence
@@ -400,6 +401,13 @@
     return e.threads + threads <= std::min(by_mean, by_cores) + 1e-9;
   }
 
+  // Memory is checked likewise (DESIGN leaves it open): grants of this gateway stay within its part, so that
+  // queries wait here in order of worth rather than in the engine's line, or spill there.
+  bool memory_allows(const Held& h, const Engine& e, TimeUs now) {
+    if (!s_.grants || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
+    return e.granted_mb + grant_for(h, e) <= kMemoryPart * e.memory_mb * share(now);
+  }
+
   bool pressed(const Engine& e, TimeUs now) const {
     return e.slowdown > kPressure || now - e.last_full < kFullMemory;
   }
@@ -414,6 +422,7 @@
         if (pass < 1 && tried) continue;
         if (stalled_for(h, *e, now)) continue;
         if (!healthy(*e, h, now) || !may_send(h, *e, now)) continue;
+        if (!memory_allows(h, *e, now)) continue;
         const bool under = under_bounds(h, *e, now);
         const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant, now) > 0;
         if (open ? (under || !pressed(*e, now)) : under) return e;
