A busy key's line is thinned early, its longest query first

Told from a lack of engines by the line: held 2 s to 20 s, running at the ideal pace once sent. Moore and Hodgson's rule turns the fewest away, and at once. Can hurt: cost estimates far off refuse a load that would have fitted.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -179,8 +179,11 @@
     mean_value_ += w * (c.value - mean_value_);
     mean_work_ += w * (h.cost - mean_work_);
     mean_density_ = mean_value_ / std::max(mean_work_, 1.0) * 1e6;
-    if (c.in_order && !q.key.empty()) keys_[q.key].line.push_back(q.id);
     hold(h);
+    if (c.in_order && !q.key.empty()) {
+      keys_[q.key].line.push_back(q.id);
+      thin_key_line(now, q.key, sink);
+    }
     pump(now, sink);
     if (const auto it = queries_.find(q.id); it != queries_.end() && it->second.waiting)
       sink.set_timer(std::max<TimeUs>(give_up_at(it->second) - now, 1), kTokenWake);
@@ -470,6 +473,34 @@
     }
   }
 
+  // A key's queries run one at a time, so a busy key has a longer line than it can serve. Refuses early, the
+  // longest first, until the rest can start in time (Moore and Hodgson's rule: the fewest are turned away).
+  void thin_key_line(TimeUs now, const std::string& key, ActionSink& sink) {
+    for (bool fits = false; !fits;) {
+      fits = true;
+      double start = static_cast<double>(now);
+      Held* longest = nullptr;
+      for (const QueryId id : keys_.at(key).line) {
+        Held& h = queries_.at(id);
+        if (h.ended) continue;
+        if (!h.waiting || !h.attempts.empty()) {
+          const double since =
+              static_cast<double>(now - (h.attempts.empty() ? now : h.attempts.back().sent_at));
+          start += std::max(ideal(h) - since, 0.0);
+          continue;
+        }
+        if (!longest || h.cost > longest->cost) longest = &h;
+        fits = start <= static_cast<double>(give_up_at(h));
+        if (!fits) break;
+        start += ideal(h);
+      }
+      if (fits) return;
+      const QueryId id = longest->q.id;
+      answer(now, *longest, sink);
+      forget_if_over(now, id);
+    }
+  }
+
   // Places held queries, those with most worth per CPU second first.
   void pump(TimeUs now, ActionSink& sink) {
     size_t tried = 0;
@@ -637,7 +668,6 @@
       const bool unsure = std::any_of(h.attempts.begin(), h.attempts.end(),
                                       [](const Attempt& a) { return may_still_run(a.outcome); });
       if (unsure) k.rest_until = std::max(k.rest_until, now + s_.rules.key_rest);
-      if (k.line.empty() && k.rest_until <= now) keys_.erase(h.q.key);
     }
     queries_.erase(it);
   }
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -464,6 +464,24 @@
   EXPECT_EQ(sends_of(2), 1u);
 }
 
+// A busy key once let every load wait until its aim was lost: the longest now goes early, and only that.
+TEST_F(Module, ABusyKeysLineIsThinnedAtOnceOfItsLongestQuery) {
+  s.classes[0].in_order = true;
+  s.classes[0].effect = Effect::kAtMostOnce;
+  s.classes[0].aim = 2 * kSecond;
+  s.classes[0].aim_stretch = 1;
+  begin(4);
+  const std::vector<TimeUs> costs = {600 * kMs, 500 * kMs, 2000 * kMs, 400 * kMs, 300 * kMs};
+  for (QueryId i = 1; i <= 5; ++i) {
+    Query q = query(i, i);
+    q.key = "k";
+    q.cost_estimate = costs[i - 1];
+    take(q);
+  }
+  EXPECT_EQ(sink.refused.count(3), 1u);
+  EXPECT_EQ(sink.refused.size(), 1u);
+}
+
 // --- Rule 6 ---
 
 TEST_F(Module, PlacementByZoneByKindAndByBothHoldsAtEveryAttempt) {
