--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -313,7 +313,8 @@
     } else if (estimate > 0) {
       const double ratio = spent / estimate;
       if (l.base <= 0) l.base = ratio;
-      l.base *= std::exp(kLearnWeight * (ratio < l.base ? -0.75 : 0.25));
+      // The calm median: answers slower than the pressure line hardly move it, or a jam would pass for calm.
+      l.base *= std::exp(kLearnWeight * (ratio < l.base ? -0.5 : ratio < kPressure * l.base ? 0.5 : 0.03));
       l.told += kLearnWeight * (l.base * estimate - l.told);
       l.estimated += kLearnWeight * (estimate - l.estimated);
       slow = ratio / l.base;
@@ -392,15 +393,16 @@
     return it != e.stalled.end() && it->second > now;
   }
 
+  // Answers slower than the pressure line shrink the bounds in proportion (exception "slow answers").
+  static double ease(const Engine& e) { return std::min(1.0, kPressure / std::max(e.slowdown, 0.1)); }
+
   bool under_bounds(const Held& h, const Engine& e, TimeUs now) {
     double sum = 0, n = 0;
     for (const auto& [id, x] : engines_)
       if (x.listed && !x.suspect) sum += x.threads, n += 1;
     const double threads = cls(h).threads;
     const double by_mean = kMeanBound * sum / std::max(n, 1.0) + threads;
-    // Answers slower than the pressure line shrink the bound in proportion (exception "slow answers").
-    const double ease = std::min(1.0, kPressure / std::max(e.slowdown, 0.1));
-    const double by_cores = std::max(kThreadsPerCore * e.cores * share(now) * ease, threads);
+    const double by_cores = std::max(kThreadsPerCore * e.cores * share(now) * ease(e), threads);
     return e.threads + threads <= std::min(by_mean, by_cores) + 1e-9;
   }
 
@@ -408,7 +410,12 @@
   // queries wait here in order of worth rather than in the engine's line, or spill there.
   bool memory_allows(const Held& h, const Engine& e, TimeUs now) {
     if (!s_.grants || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
-    return e.granted_mb + grant_for(h, e) <= kMemoryPart * e.memory_mb * share(now);
+    return e.granted_mb + grant_for(h, e) <= kMemoryPart * e.memory_mb * share(now) * ease(e);
+  }
+
+  // Where time-outs don't stop work, a query that can't end in its time takes the engine from all others.
+  bool can_finish(const Held& h, const Engine& e, TimeUs now) const {
+    return ideal(h) * std::max(e.slowdown, 1.0) < static_cast<double>(h.deadline - now);
   }
 
   bool pressed(const Engine& e, TimeUs now) const {
@@ -425,7 +432,7 @@
         if (pass < 1 && tried) continue;
         if (stalled_for(h, *e, now)) continue;
         if (!healthy(*e, h, now) || !may_send(h, *e, now)) continue;
-        if (!memory_allows(h, *e, now)) continue;
+        if (!memory_allows(h, *e, now) || !can_finish(h, *e, now)) continue;
         const bool under = under_bounds(h, *e, now);
         const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant, now) > 0;
         if (open ? (under || !pressed(*e, now)) : under) return e;
