Grants are learned from spill notes at once; waits for memory shrink this gateway's part

Told from a plain lack of engines by the notes: hundreds of MB missing at the very start of each attempt. Two budget tests follow the rule that nothing is sent that can't end in its time.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -23,6 +23,8 @@
 constexpr double kMemoryPart = 1.0;          // of an engine's memory that all gateways' grants may fill
 constexpr double kPressure = 2.0;            // slowdown from which the bounds bind: answers take twice
 constexpr TimeUs kFullMemory = 1'000 * kMs;  // a "full" answer counts as pressure for this long
+constexpr TimeUs kCrowdPause = 500 * kMs;    // one step down for all signs within this
+constexpr double kCrowdStep = 0.8, kCrowdLeast = 0.3, kCrowdBack = 0.004;  // step down, floor, step up a tick
 constexpr TimeUs kTick = 20 * kMs;           // housekeeping period: expiry of held queries, silence
 constexpr TimeUs kAnswerMargin = 60 * kMs;   // a held query is answered this long before its time ends
 constexpr double kSilenceFactor = 3.0;       // x the expected latency without any sign of life: silent
@@ -108,6 +110,7 @@
   std::deque<std::pair<TimeUs, double>> sent;  // work sent while cold
   std::set<std::pair<QueryId, int>> out;
   double slowdown = 1;
+  double room = 1;  // part of its share of memory that this gateway still finds free
   double errors = 0;
   TimeUs last_sign = 0;  // of life: an answer or a note
   TimeUs last_full = -kWindow;
@@ -120,7 +123,7 @@
   double told = 0, estimated = 0;  // decayed sums: how far estimates of cost are off
   double mean = 0;                 // us of CPU; 0: nothing learned yet
   double base = 0;                 // where costs are not told: latency x threads per estimate when calm
-  double grant = kGrantStart;
+  double grant = kGrantStart, grants = 0;  // multiple of the estimate; how often it was learned
 };
 
 struct KeyLine {
@@ -214,10 +217,14 @@
     e->second.last_sign = now;
     if (e->second.suspect && e->second.errors < kErrorShare) clear_suspicion(e->second);
     if (n.attempt < 0 || n.attempt >= static_cast<int>(it->second.attempts.size())) return;
-    if (n.kind == NoteKind::kSpill) it->second.attempts[static_cast<size_t>(n.attempt)].spilled = true;
+    Attempt& a = it->second.attempts[static_cast<size_t>(n.attempt)];
+    if (n.kind == NoteKind::kSpill && !a.spilled) {
+      a.spilled = true;  // where memory is told, or what is short is shared out, the answer teaches instead
+      if (!s_.tells_cost && s_.when_short != WhenShort::kShrink) learn_grant(learned(it->second), a, true);
+    }
     if (n.kind == NoteKind::kWait && n.value >= 2)
       e->second.stalled[it->second.q.table_group] = now + 2 * std::max(s_.progress_interval, kTick);
-    if (n.kind == NoteKind::kWait && n.value < 2) e->second.last_full = now;
+    if (n.kind == NoteKind::kWait && n.value < 2) crowd(e->second, now);
     pump(now, sink);
   }
 
@@ -247,6 +254,8 @@
     }
     if (token == kTokenTick) {
       sink.set_timer(kTick, kTokenTick);
+      for (auto& [id, e] : engines_)
+        if (now - e.last_full > kFullMemory) e.room = std::min(1.0, e.room + kCrowdBack);
       watch_silence(now, sink);
       std::erase_if(keys_,
                     [&](const auto& k) { return k.second.line.empty() && k.second.rest_until <= now; });
@@ -284,6 +293,14 @@
     return e.memory_mb > 0 ? std::min(want, e.memory_mb * s_.max_grant_share) : want;
   }
 
+  // The grant tends to what all but a few need. First steps are long: a class's estimates may be far too low,
+  // and each query that spills does its work several times over.
+  void learn_grant(Learned& l, const Attempt& a, bool spilled) {
+    if (a.grant_mb <= 0) return;
+    const double step = std::max(kGrantStep, 1.0 / (2.0 + l.grants++));
+    l.grant = std::clamp(l.grant * std::exp(step * (spilled ? 1 - kGrantSpill : -kGrantSpill)), 0.1, 10.0);
+  }
+
   // An answer corrects its charge and teaches costs, memory and the engine's slowdown.
   void settle(const Held& h, Attempt& a, const Outcome& o) {
     const auto it = engines_.find(a.engine);
@@ -322,10 +339,10 @@
     l.mean += (l.mean > 0 ? kLearnWeight : 1) * (spent - l.mean);
     if (it != engines_.end() && slow > 0 && !c.load)
       it->second.slowdown += kSlowWeight * (std::min(slow, kSlowMost) - it->second.slowdown);
-    if (a.grant_mb > 0) {
-      const bool short_of = o.told_memory_mb ? *o.told_memory_mb > a.grant_mb : a.spilled;
-      l.grant *= std::exp(kGrantStep * (short_of ? 1 - kGrantSpill : -kGrantSpill));
-      l.grant = std::clamp(l.grant, 0.1, 10.0);
+    if (o.told_memory_mb) {
+      learn_grant(l, a, *o.told_memory_mb > a.grant_mb);
+    } else if (!a.spilled) {
+      learn_grant(l, a, false);
     }
   }
 
@@ -410,7 +427,7 @@
   // queries wait here in order of worth rather than in the engine's line, or spill there.
   bool memory_allows(const Held& h, const Engine& e, TimeUs now) {
     if (!s_.grants || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
-    return e.granted_mb + grant_for(h, e) <= kMemoryPart * e.memory_mb * share(now) * ease(e);
+    return e.granted_mb + grant_for(h, e) <= kMemoryPart * e.memory_mb * share(now) * ease(e) * e.room;
   }
 
   // Where time-outs don't stop work, a query that can't end in its time takes the engine from all others.
@@ -679,6 +696,14 @@
     queries_.erase(it);
   }
 
+  // A wait for memory means that others fill the engine: gateways that died, work that outlives its time-out,
+  // a neighbour over its part. This gateway's part shrinks with each such sign and grows back with the
+  // budget.
+  void crowd(Engine& e, TimeUs now) {
+    if (now - e.last_full > kCrowdPause) e.room = std::max(kCrowdLeast, e.room * kCrowdStep);
+    if (now - e.last_full > kCrowdPause) e.last_full = now;
+  }
+
   // --- Engine health --------------------------------------------------------------------------------------
   // A suspect engine gets one trial query at a time, of a class that is safe to repeat.
   bool healthy(const Engine& e, const Held& h, TimeUs now) const {
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -170,6 +170,7 @@
 
 TEST_F(Module, OverBudgetTenantIsHeldOnlyOnceTheBoundIsReachedAndResetReopens) {
   s.tenants = {{"a", 1, 0}};
+  s.classes[0].deadline = 60 * kSecond;
   begin(1);
   // The budget is 8 cores x 5 s; one query spends it all and more.
   Query q = query(1);
@@ -193,6 +194,7 @@
 
 TEST_F(Module, UntaggedQueriesSkipBudgets) {
   s.tenants = {{"a", 1, 0}};
+  s.classes[0].deadline = 60 * kSecond;
   begin(1);
   for (QueryId i = 1; i <= 50; ++i) {
     Query q = query(i);
@@ -576,6 +578,81 @@
   EXPECT_GT(after_recovery, 300u);
 }
 
+// --- Memory ---
+
+// Estimates far too low made a whole class spill for half a day: one spill note has to raise the next grant.
+TEST_F(Module, ASpillNoteRaisesTheNextGrantOfItsClassAtOnce) {
+  s.grants = true;
+  s.progress_interval = 500 * kMs;
+  begin(2);
+  Query q = query(1);
+  q.memory_mb = 100;
+  take(q);
+  const double first = sink.terms.at(1).second;
+  Note n;
+  n.query = 1;
+  n.engine = sink.sent.at(0).engine;
+  n.kind = NoteKind::kSpill;
+  n.value = 300;
+  module->on_note(sink.now, n, sink);
+  module->on_note(sink.now, n, sink);  // told again: learned once
+  q.id = 2;
+  take(q);
+  EXPECT_GT(sink.terms.at(2).second, first * 1.3);
+  EXPECT_LT(sink.terms.at(2).second, first * 1.7);
+}
+
+// Reports once filled the engines and lookups stood in their lines for memory.
+TEST_F(Module, GrantsStayWithinThisGatewaysPartAndShrinkWhenQueriesWaitForMemory) {
+  s.gateways = 2;
+  s.grants = true;
+  s.progress_interval = 500 * kMs;
+  begin(1);  // 16000 MB: this gateway's part is 8000
+  for (QueryId i = 1; i <= 20; ++i) {
+    Query q = query(i);
+    q.memory_mb = 800;  // 1000 granted
+    take(q);
+  }
+  EXPECT_EQ(sink.sent.size(), 8u);
+  Note n;
+  n.query = 1;
+  n.engine = sink.sent.at(0).engine;
+  n.kind = NoteKind::kWait;
+  n.value = 1;
+  sink.now += 100 * kMs;
+  module->on_note(sink.now, n, sink);
+  answer(0, OutcomeKind::kOk);
+  EXPECT_EQ(sink.sent.size(), 8u);  // without the note the next one would go
+  answer(1, OutcomeKind::kOk);
+  answer(2, OutcomeKind::kOk);
+  EXPECT_GT(sink.sent.size(), 8u);
+}
+
+// --- Loads ---
+
+// Loads of one group queued on one engine and stalled each other and every reader of the group there.
+TEST_F(Module, LoadsOfOneGroupNeverShareAnEngineNorTheReadersHome) {
+  s.classes[0].waits_for_loads = true;
+  ClassSettings load = plain_class();
+  load.name = "load";
+  load.load = true;
+  s.classes.push_back(load);
+  begin(6);
+  take(query(1, 5));
+  const EngineId home = sink.sent.at(0).engine;
+  for (QueryId i = 2; i <= 12; ++i) {
+    Query q = query(i, 5);
+    q.class_index = 1;
+    take(q);
+  }
+  std::set<EngineId> used;
+  for (size_t i = 1; i < sink.sent.size(); ++i) {
+    EXPECT_NE(sink.sent[i].engine, home);
+    EXPECT_TRUE(used.insert(sink.sent[i].engine).second) << "two loads of a group on one engine";
+  }
+  EXPECT_EQ(used.size(), 3u);  // the far half; the rest are held
+}
+
 // --- Discovery that must be asked ---
 
 TEST_F(Module, AsksDiscoveryWhereItMustBeAskedAndAgainAfterAFailure) {
