--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -42,6 +42,8 @@
 constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
 constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
 constexpr double kColdKeepWarm = 1.3;        // x the stated warm-up for which an engine counts as cold
+constexpr size_t kLoadNews = 14;             // bytes of a message on a load: engine, group, length
+constexpr double kLoadLength = 2.0;          // x its ideal time that a neighbour's load is believed to last
 constexpr size_t kScanMost = 48;             // held queries tried for a place at one event
 constexpr std::uint64_t kTokenTick = 1, kTokenReset = 2, kTokenWake = 3;
 
@@ -57,6 +59,18 @@
   return mix(h);
 }
 
+std::string pack(std::uint64_t value, size_t bytes) {
+  std::string out;
+  for (size_t i = 0; i < bytes; ++i) out += static_cast<char>(value >> (8 * i) & 255);
+  return out;
+}
+
+std::uint64_t unpack(const std::string& text, size_t at, size_t bytes) {
+  std::uint64_t value = 0;
+  for (size_t i = bytes; i-- > 0;) value = value << 8 | static_cast<unsigned char>(text[at + i]);
+  return value;
+}
+
 bool never_ran(OutcomeKind k) {
   return k == OutcomeKind::kFull || k == OutcomeKind::kConnectFailed || k == OutcomeKind::kMoot;
 }
@@ -202,7 +216,7 @@
     if (!a.open) return;
     a.open = false;
     a.outcome = o.kind;
-    settle(h, a, o);
+    settle(h, a, o, sink);
     judge(now, a, o);
     if (o.ended) end(h);
     if (!h.ended) next_step(now, h, sink);
@@ -245,7 +259,16 @@
   }
 
   void on_probe(TimeUs, const EngineId&, bool, const LoadReport&, ActionSink&) override {}
-  void on_peer(TimeUs, int, const std::string&, ActionSink&) override {}
+  // A neighbour's load began (its usual length follows, in ticks) or ended (0) on an engine.
+  void on_peer(TimeUs now, int, const std::string& bytes, ActionSink& sink) override {
+    if (bytes.size() != kLoadNews) return;
+    const std::uint64_t hash = unpack(bytes, 0, 8);
+    const auto group = static_cast<std::int64_t>(unpack(bytes, 8, 4));
+    const auto until = now + static_cast<TimeUs>(unpack(bytes, 12, 2)) * kTick;
+    for (auto& [id, e] : engines_)
+      if (e.hash == hash) e.stalled[group] = until;
+    if (until == now) pump(now, sink);
+  }
 
   void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
     if (token == kTokenReset) {
@@ -302,7 +325,7 @@
   }
 
   // An answer corrects its charge and teaches costs, memory and the engine's slowdown.
-  void settle(const Held& h, Attempt& a, const Outcome& o) {
+  void settle(const Held& h, Attempt& a, const Outcome& o, ActionSink& sink) {
     const auto it = engines_.find(a.engine);
     const ClassSettings& c = cls(h);
     const double spent = o.told_cost && o.kind == OutcomeKind::kOk
@@ -312,7 +335,7 @@
       Engine& e = it->second;
       e.threads -= c.threads;
       e.granted_mb -= a.grant_mb;
-      if (c.load && --e.loads[h.q.table_group] <= 0) e.loads.erase(h.q.table_group);
+      if (c.load && --e.loads[h.q.table_group] <= 0) e.loads.erase(h.q.table_group), tell_load(h, e, 0, sink);
       e.out.erase({h.q.id, static_cast<int>(&a - h.attempts.data())});
       if (!h.q.tenant.empty() && o.kind != OutcomeKind::kTimeout && o.kind != OutcomeKind::kCancelled)
         e.left[h.q.tenant] += a.charge - (never_ran(o.kind) ? 0.0 : spent);
@@ -371,6 +394,13 @@
     return it->second;
   }
 
+  // Readers and other loads of the group stand still behind a load: neighbours that can hear are told of it.
+  void tell_load(const Held& h, const Engine& e, double length, ActionSink& sink) {
+    if (!s_.limits.peers || s_.gateways < 2) return;
+    const auto ticks = static_cast<std::uint64_t>(std::clamp(length / kTick, 0.0, 65535.0));
+    sink.tell_all(pack(e.hash, 8) + pack(static_cast<std::uint64_t>(h.q.table_group), 4) + pack(ticks, 2));
+  }
+
   // --- Routing --------------------------------------------------------------------------------------------
   // Rendezvous order of the table group: the same at every gateway, stable as engines come and go.
   std::vector<Engine*> walk_order(const Held& h) {
@@ -390,9 +420,10 @@
     if (cls(h).load && order.size() > 1) {
       std::reverse(order.begin(), order.end());
       order.resize((order.size() + 1) / 2);
-      std::rotate(order.begin(), order.begin() + s_.self % static_cast<int>(order.size()), order.end());
-      std::stable_partition(order.begin(), order.end(),
-                            [&](const Engine* e) { return !wanted_by_bound(*e); });
+      const auto spared = std::stable_partition(order.begin(), order.end(),
+                                                [&](const Engine* e) { return !wanted_by_bound(*e); });
+      for (const auto& [from, to] : {std::pair(order.begin(), spared), std::pair(spared, order.end())})
+        if (from != to) std::rotate(from, from + s_.self % (to - from), to);
     }
     return order;
   }
@@ -430,11 +461,6 @@
     return e.granted_mb + grant_for(h, e) <= kMemoryPart * e.memory_mb * share(now) * ease(e) * e.room;
   }
 
-  // Where time-outs don't stop work, a query that can't end in its time takes the engine from all others.
-  bool can_finish(const Held& h, const Engine& e, TimeUs now) const {
-    return ideal(h) * std::max(e.slowdown, 1.0) < static_cast<double>(h.deadline - now);
-  }
-
   bool pressed(const Engine& e, TimeUs now) const {
     return e.slowdown > kPressure || now - e.last_full < kFullMemory;
   }
@@ -449,7 +475,7 @@
         if (pass < 1 && tried) continue;
         if (stalled_for(h, *e, now)) continue;
         if (!healthy(*e, h, now) || !may_send(h, *e, now)) continue;
-        if (!memory_allows(h, *e, now) || !can_finish(h, *e, now)) continue;
+        if (!memory_allows(h, *e, now)) continue;
         const bool under = under_bounds(h, *e, now);
         const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant, now) > 0;
         if (open ? (under || !pressed(*e, now)) : under) return e;
@@ -619,7 +645,7 @@
     if (!h.q.tenant.empty()) budget(e, h.q.tenant, now) -= a.charge;
     e.threads += c.threads;
     e.granted_mb += a.grant_mb;
-    if (c.load) ++e.loads[h.q.table_group];
+    if (c.load) ++e.loads[h.q.table_group], tell_load(h, e, kLoadLength * ideal(h), sink);
     if (cold(e, now)) {
       while (!e.sent.empty() && e.sent.front().first < now - 2 * s_.rules.fall_window) e.sent.pop_front();
       e.sent.emplace_back(now, h.cost);
