--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -1,8 +1,8 @@
 // orchidgw's decision module: workload budgets after Pinot's query resource isolation (docs/design.md).
 // The interface that it implements is src/decision/decision.h. Nothing outside this file decides anything.
 //
-// Map: constants | records | settings and listing | events | learned costs | budget ledger | routing |
-//      admission and holding | the guard of every send | attempts and answers | engine health | timers
+// Map: constants | records | listing | events | learned costs | budget ledger | routing |
+//      admission and holding | the guard of every send (rules 2-7) | attempts and answers (rule 1) | health
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -42,8 +42,9 @@
 constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
 constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
 constexpr double kColdKeepWarm = 1.3;        // x the stated warm-up for which an engine counts as cold
+constexpr TimeUs kTurn = 40 * kMs;           // each gateway's turn at a place that a load left free
 constexpr size_t kLoadNews = 14;             // bytes of a message on a load: engine, group, length
-constexpr double kLoadLength = 2.0;          // x its ideal time that a neighbour's load is believed to last
+constexpr double kLoadLength = 8.0;          // x its ideal time that a neighbour's load is believed to last
 constexpr size_t kScanMost = 48;             // held queries tried for a place at one event
 constexpr std::uint64_t kTokenTick = 1, kTokenReset = 2, kTokenWake = 3;
 
@@ -87,7 +88,6 @@
   TimeUs sent_at = 0;
   double charge = 0;    // us of CPU taken from the budget
   double grant_mb = 0;  // 0: left to the engine
-  bool budgeted = false;
   bool spilled = false;
   bool open = true;
   bool given_up = false;  // its engine fell silent, or it was cancelled
@@ -104,7 +104,6 @@
   std::vector<Attempt> attempts;
   bool ended = false;
   bool waiting = false;  // in the holding line
-  int priority = -1;     // as last told
   int in_flight() const {
     return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.open; }));
   }
@@ -216,12 +215,17 @@
     if (!a.open) return;
     a.open = false;
     a.outcome = o.kind;
-    settle(h, a, o, sink);
+    settle(h, a, o);
     judge(now, a, o);
     if (o.ended) end(h);
     if (!h.ended) next_step(now, h, sink);
+    const bool load = cls(h).load;
+    const std::int64_t group = h.q.table_group;
     forget_if_over(now, o.query);
     pump(now, sink);
+    const auto e = engines_.find(o.engine);  // told as free only if no load of this gateway took the place
+    if (load && e != engines_.end() && e->second.loads.count(group) == 0)
+      tell_load(group, e->second, 0, sink);
   }
 
   void on_note(TimeUs now, const Note& n, ActionSink& sink) override {
@@ -259,15 +263,17 @@
   }
 
   void on_probe(TimeUs, const EngineId&, bool, const LoadReport&, ActionSink&) override {}
-  // A neighbour's load began (its usual length follows, in ticks) or ended (0) on an engine.
-  void on_peer(TimeUs now, int, const std::string& bytes, ActionSink& sink) override {
+
+  // A neighbour's load began (its usual length follows, in ticks) or ended (0) on an engine. A place that
+  // is free again is taken in turn, lest all gateways that hold loads jump at it together.
+  void on_peer(TimeUs now, int peer, const std::string& bytes, ActionSink&) override {
     if (bytes.size() != kLoadNews) return;
-    const std::uint64_t hash = unpack(bytes, 0, 8);
-    const auto group = static_cast<std::int64_t>(unpack(bytes, 8, 4));
-    const auto until = now + static_cast<TimeUs>(unpack(bytes, 12, 2)) * kTick;
+    const auto ticks = static_cast<TimeUs>(unpack(bytes, 12, 2));
+    const int turn = ((s_.self - peer) % s_.gateways + s_.gateways) % s_.gateways;
     for (auto& [id, e] : engines_)
-      if (e.hash == hash) e.stalled[group] = until;
-    if (until == now) pump(now, sink);
+      if (e.hash == unpack(bytes, 0, 8))
+        e.stalled[static_cast<std::int64_t>(unpack(bytes, 8, 4))] =
+            now + (ticks > 0 ? ticks * kTick : turn * kTurn);
   }
 
   void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
@@ -304,10 +310,10 @@
   // --- Learned costs --------------------------------------------------------------------------------------
   double expected_cost(const Query& q) const {
     const Learned& l = learned_[static_cast<size_t>(q.class_index)];
-    const ClassSettings& c = s_.classes[static_cast<size_t>(q.class_index)];
     if (q.cost_estimate > 0)
       return static_cast<double>(q.cost_estimate) * (l.estimated > 0 ? l.told / l.estimated : 1.0);
-    return l.mean > 0 ? l.mean : static_cast<double>(c.aim) * 0.5;
+    return l.mean > 0 ? l.mean
+                      : static_cast<double>(s_.classes[static_cast<size_t>(q.class_index)].aim) * 0.5;
   }
 
   double grant_for(const Held& h, const Engine& e) const {
@@ -325,7 +331,7 @@
   }
 
   // An answer corrects its charge and teaches costs, memory and the engine's slowdown.
-  void settle(const Held& h, Attempt& a, const Outcome& o, ActionSink& sink) {
+  void settle(const Held& h, Attempt& a, const Outcome& o) {
     const auto it = engines_.find(a.engine);
     const ClassSettings& c = cls(h);
     const double spent = o.told_cost && o.kind == OutcomeKind::kOk
@@ -335,7 +341,7 @@
       Engine& e = it->second;
       e.threads -= c.threads;
       e.granted_mb -= a.grant_mb;
-      if (c.load && --e.loads[h.q.table_group] <= 0) e.loads.erase(h.q.table_group), tell_load(h, e, 0, sink);
+      if (c.load && --e.loads[h.q.table_group] <= 0) e.loads.erase(h.q.table_group);
       e.out.erase({h.q.id, static_cast<int>(&a - h.attempts.data())});
       if (!h.q.tenant.empty() && o.kind != OutcomeKind::kTimeout && o.kind != OutcomeKind::kCancelled)
         e.left[h.q.tenant] += a.charge - (never_ran(o.kind) ? 0.0 : spent);
@@ -395,10 +401,10 @@
   }
 
   // Readers and other loads of the group stand still behind a load: neighbours that can hear are told of it.
-  void tell_load(const Held& h, const Engine& e, double length, ActionSink& sink) {
+  void tell_load(std::int64_t group, const Engine& e, double length, ActionSink& sink) {
     if (!s_.limits.peers || s_.gateways < 2) return;
     const auto ticks = static_cast<std::uint64_t>(std::clamp(length / kTick, 0.0, 65535.0));
-    sink.tell_all(pack(e.hash, 8) + pack(static_cast<std::uint64_t>(h.q.table_group), 4) + pack(ticks, 2));
+    sink.tell_all(pack(e.hash, 8) + pack(static_cast<std::uint64_t>(group), 4) + pack(ticks, 2));
   }
 
   // --- Routing --------------------------------------------------------------------------------------------
@@ -420,8 +426,8 @@
     if (cls(h).load && order.size() > 1) {
       std::reverse(order.begin(), order.end());
       order.resize((order.size() + 1) / 2);
-      const auto spared = std::stable_partition(order.begin(), order.end(),
-                                                [&](const Engine* e) { return !wanted_by_bound(*e); });
+      const auto free_to_all = [&](const Engine* e) { return !wanted_by_bound(*e); };
+      const auto spared = std::stable_partition(order.begin(), order.end(), free_to_all);
       for (const auto& [from, to] : {std::pair(order.begin(), spared), std::pair(spared, order.end())})
         if (from != to) std::rotate(from, from + s_.self % (to - from), to);
     }
@@ -533,10 +539,8 @@
       for (const QueryId id : keys_.at(key).line) {
         Held& h = queries_.at(id);
         if (h.ended) continue;
-        if (!h.waiting || !h.attempts.empty()) {
-          const double since =
-              static_cast<double>(now - (h.attempts.empty() ? now : h.attempts.back().sent_at));
-          start += std::max(ideal(h) - since, 0.0);
+        if (!h.attempts.empty()) {
+          start += std::max(ideal(h) - static_cast<double>(now - h.attempts.back().sent_at), 0.0);
           continue;
         }
         if (!longest || h.cost > longest->cost) longest = &h;
@@ -632,7 +636,7 @@
   void send(TimeUs now, Held& h, Engine& e, ActionSink& sink) {
     if (!may_send(h, e, now)) return hold(h);
     const ClassSettings& c = cls(h);
-    if (!h.attempts.empty()) extras_.push_back(now);
+    if (!h.attempts.empty() && s_.rules.attempts_rationed) extras_.push_back(now);
     Attempt a;
     a.engine = e.entry.id;
     a.zone = e.entry.zone;
@@ -645,7 +649,7 @@
     if (!h.q.tenant.empty()) budget(e, h.q.tenant, now) -= a.charge;
     e.threads += c.threads;
     e.granted_mb += a.grant_mb;
-    if (c.load) ++e.loads[h.q.table_group], tell_load(h, e, kLoadLength * ideal(h), sink);
+    if (c.load) ++e.loads[h.q.table_group], tell_load(h.q.table_group, e, kLoadLength * ideal(h), sink);
     if (cold(e, now)) {
       while (!e.sent.empty() && e.sent.front().first < now - 2 * s_.rules.fall_window) e.sent.pop_front();
       e.sent.emplace_back(now, h.cost);
@@ -723,11 +727,11 @@
   }
 
   // A wait for memory means that others fill the engine: gateways that died, work that outlives its time-out,
-  // a neighbour over its part. This gateway's part shrinks with each such sign and grows back with the
-  // budget.
+  // a neighbour over its part. This gateway's part shrinks with each such sign and grows back by the tick.
   void crowd(Engine& e, TimeUs now) {
-    if (now - e.last_full > kCrowdPause) e.room = std::max(kCrowdLeast, e.room * kCrowdStep);
-    if (now - e.last_full > kCrowdPause) e.last_full = now;
+    if (now - e.last_full <= kCrowdPause) return;
+    e.room = std::max(kCrowdLeast, e.room * kCrowdStep);
+    e.last_full = now;
   }
 
   // --- Engine health --------------------------------------------------------------------------------------
