An engine is silent when two table groups are overdue there, or one for long

Told from a lack of room by a debugging build that named the reason engine by engine. Can hurt: a hung engine that serves one group for a gateway is shut 2 s later.

--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -164,7 +164,7 @@
   virtual void on_query(TimeUs now, const Query& query, ActionSink& sink) = 0;
   virtual void on_outcome(TimeUs now, const Outcome& outcome, ActionSink& sink) = 0;
   virtual void on_note(TimeUs now, const Note& note, ActionSink& sink) = 0;
-  virtual void on_stream_started(TimeUs now, QueryId query, int attempt, ActionSink& sink) = 0;
+  virtual void on_stream_started(TimeUs now, QueryId query, const EngineId& engine, ActionSink& sink) = 0;
   virtual void on_client_gone(TimeUs now, QueryId query, ActionSink& sink) = 0;
   virtual void on_probe(TimeUs now, const EngineId& engine, bool ok, const LoadReport& report,
                         ActionSink& sink) = 0;
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -28,6 +28,7 @@
 constexpr TimeUs kTick = 20 * kMs;           // housekeeping period: expiry of held queries, silence
 constexpr TimeUs kAnswerMargin = 60 * kMs;   // a held query is answered this long before its time ends
 constexpr double kSilenceFactor = 3.0;       // x the expected latency without any sign of life: silent
+constexpr double kSilenceAlone = 4.0;        // x that for one table group alone: a load may stall it
 constexpr TimeUs kSilenceFloor = 700 * kMs;  // and never sooner than this
 constexpr double kNotesMissed = 3.0;         // x the progress interval without a sign of life: silent
 constexpr TimeUs kTrialFirst = 1'000 * kMs;  // first wait before a suspect engine gets one trial query
@@ -35,6 +36,7 @@
 constexpr double kErrorShare = 0.3;          // share of failed answers from which an engine is suspect
 constexpr double kErrorWeight = 0.2;         // weight of one answer in that share
 constexpr double kLearnWeight = 0.05;        // weight of one answer in learned costs
+constexpr double kMeanWeight = 0.01;         // weight of one query in the mean worth and work
 constexpr double kSlowWeight = 0.2;          // weight of one answer in an engine's slowdown
 constexpr double kSlowMost = 10.0;           // one answer counts as at most this slow: loads stall readers
 constexpr double kGrantSpill = 0.15;         // share of queries that may need more memory than granted
@@ -76,10 +78,6 @@
   return k == OutcomeKind::kFull || k == OutcomeKind::kConnectFailed || k == OutcomeKind::kMoot;
 }
 
-bool may_still_run(OutcomeKind k) {
-  return k == OutcomeKind::kTimeout || k == OutcomeKind::kReset || k == OutcomeKind::kCancelled;
-}
-
 // --- Records ----------------------------------------------------------------------------------------------
 struct Attempt {
   EngineId engine;
@@ -191,10 +189,9 @@
     h.seq = ++seq_;
     h.cost = expected_cost(q);
     h.density = c.value / std::max(h.cost, 1.0) * 1e6;
-    const double w = mean_density_ > 0 ? 0.01 : 1;
+    const double w = mean_work_ > 0 ? kMeanWeight : 1;
     mean_value_ += w * (c.value - mean_value_);
     mean_work_ += w * (h.cost - mean_work_);
-    mean_density_ = mean_value_ / std::max(mean_work_, 1.0) * 1e6;
     hold(h);
     if (c.in_order && !q.key.empty()) {
       keys_[q.key].line.push_back(q.id);
@@ -246,11 +243,8 @@
     pump(now, sink);
   }
 
-  void on_stream_started(TimeUs now, QueryId id, int, ActionSink&) override {
-    if (const auto it = queries_.find(id); it != queries_.end()) {
-      for (const auto& a : it->second.attempts)
-        if (const auto e = engines_.find(a.engine); a.open && e != engines_.end()) e->second.last_sign = now;
-    }
+  void on_stream_started(TimeUs now, QueryId, const EngineId& engine, ActionSink&) override {
+    if (const auto e = engines_.find(engine); e != engines_.end()) e->second.last_sign = now;
   }
 
   void on_client_gone(TimeUs now, QueryId id, ActionSink& sink) override {
@@ -664,7 +658,7 @@
   // Short cores and disks go first to what earns most for them.
   int priority_for(const Held& h) const {
     if (cls(h).load) return 3;  // the sooner it ends, the less it stalls
-    const double r = h.density / std::max(mean_density_, 1e-9);
+    const double r = h.density * mean_work_ / std::max(mean_value_ * 1e6, 1e-9);
     return r >= 2 ? 3 : r >= 0.7 ? 2 : r >= 0.25 ? 1 : 0;
   }
 
@@ -719,9 +713,8 @@
     if (cls(h).in_order && !h.q.key.empty()) {
       KeyLine& k = keys_.at(h.q.key);
       std::erase(k.line, id);
-      const bool unsure = std::any_of(h.attempts.begin(), h.attempts.end(),
-                                      [](const Attempt& a) { return may_still_run(a.outcome); });
-      if (unsure) k.rest_until = std::max(k.rest_until, now + s_.rules.key_rest);
+      for (const Attempt& a : h.attempts)  // errors too: the key's rest costs little
+        if (a.outcome != OutcomeKind::kOk && !never_ran(a.outcome)) k.rest_until = now + s_.rules.key_rest;
     }
     queries_.erase(it);
   }
@@ -773,11 +766,13 @@
   }
 
   // Guards against an engine that takes work and answers nothing: budgets alone would reopen it at each
-  // reset. It is silent when a query is long overdue there and nothing else came back since it was sent.
+  // reset. It is silent when queries are long overdue there and nothing else came back since they were sent:
+  // queries of two table groups, as a load stalls the readers of one, or one of them for much longer.
   void watch_silence(TimeUs now, ActionSink& sink) {
     for (auto& [id, e] : engines_) {
       if (e.out.empty()) continue;
       bool silent = false;
+      std::set<std::int64_t> groups;
       for (const auto& [qid, n] : e.out) {
         const Held& h = queries_.at(qid);
         const Attempt& a = h.attempts[static_cast<size_t>(n)];
@@ -787,7 +782,9 @@
         const double patience = s_.progress_interval > 0
                                     ? kNotesMissed * static_cast<double>(s_.progress_interval)
                                     : std::max(expected, static_cast<double>(kSilenceFloor));
-        silent = silent || static_cast<double>(now - since) > patience;
+        const double quiet = static_cast<double>(now - since) / patience;
+        if (quiet > 1) groups.insert(h.q.table_group);
+        silent = silent || groups.size() > 1 || quiet > (s_.progress_interval > 0 ? 1 : kSilenceAlone);
       }
       if (!silent) continue;
       suspect(e, now);
@@ -815,7 +812,7 @@
   TimeUs ask_again_ = 0;
   double quota_ = 0;
   std::uint64_t seq_ = 0;
-  double mean_value_ = 0, mean_work_ = 0, mean_density_ = 0;
+  double mean_value_ = 0, mean_work_ = 0;  // of a query: worth, us of CPU
   std::map<EngineId, Engine> engines_;
   std::map<QueryId, Held> queries_;
   std::map<std::string, KeyLine> keys_;
