--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -618,6 +618,22 @@
   EXPECT_LT(sink.terms.at(2).second, first * 1.7);
 }
 
+// One estimate far above the gateway's part once kept a query out for good, or all others.
+TEST_F(Module, OneQueryNeverGetsAllOfThisGatewaysPart) {
+  s.gateways = 4;
+  s.grants = true;
+  begin(1);  // 16000 MB: this gateway's part is 4000
+  Query q = query(1);
+  q.memory_mb = 9000;
+  take(q);
+  ASSERT_EQ(sink.sent.size(), 1u);
+  EXPECT_LT(sink.terms.at(1).second, 4000);
+  q = query(2);
+  q.memory_mb = 800;
+  take(q);
+  EXPECT_EQ(sink.sent.size(), 2u);
+}
+
 // Reports once filled the engines and lookups stood in their lines for memory.
 TEST_F(Module, GrantsStayWithinThisGatewaysPartAndShrinkWhenQueriesWaitForMemory) {
   s.gateways = 2;
