The cap on grants never falls under a fifth of an engine; results written

Cause: on incidents with eight and twelve gateways the cap by the gateway's part was below one ordinary query's need.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -40,15 +40,16 @@
 constexpr double kSlowWeight = 0.2;          // weight of one answer in an engine's slowdown
 constexpr double kSlowMost = 10.0;           // one answer counts as at most this slow: loads stall readers
 constexpr double kGrantSpill = 0.10;         // share of queries that may need more memory than granted
-constexpr double kGrantPart = 0.6;     // of this gateway's part of an engine that one query gets: a few spill
-constexpr double kGrantStart = 1.25;   // x the estimate, before anything is learned
-constexpr double kGrantStep = 0.1;     // how fast that multiple moves (log scale, per answer)
-constexpr double kColdShare = 0.5;     // part of the cold allowance used: estimates and speeds vary
-constexpr double kColdKeepWarm = 1.3;  // x the stated warm-up for which an engine counts as cold
-constexpr TimeUs kTurn = 40 * kMs;     // each gateway's turn at a place that a load left free
-constexpr size_t kLoadNews = 14;       // bytes of a message on a load: engine, group, length
-constexpr double kLoadLength = 8.0;    // x its ideal time that a neighbour's load is believed to last
-constexpr size_t kScanMost = 48;       // held queries tried for a place at one event
+constexpr double kGrantPart = 0.6;           // of this gateway's part of an engine that one query gets
+constexpr double kGrantFloor = 0.2;          // or of the engine, if more: with many gateways parts are tiny
+constexpr double kGrantStart = 1.25;         // x the estimate, before anything is learned
+constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
+constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
+constexpr double kColdKeepWarm = 1.3;        // x the stated warm-up for which an engine counts as cold
+constexpr TimeUs kTurn = 40 * kMs;           // each gateway's turn at a place that a load left free
+constexpr size_t kLoadNews = 14;             // bytes of a message on a load: engine, group, length
+constexpr double kLoadLength = 8.0;          // x its ideal time that a neighbour's load is believed to last
+constexpr size_t kScanMost = 48;             // held queries tried for a place at one event
 constexpr std::uint64_t kTokenTick = 1, kTokenReset = 2, kTokenWake = 3;
 
 std::uint64_t mix(std::uint64_t x) {
@@ -314,7 +315,7 @@
   double grant_for(const Held& h, const Engine& e) const {
     if (!s_.grants || h.q.memory_mb <= 0) return 0;
     const double want = h.q.memory_mb * learned_[static_cast<size_t>(h.q.class_index)].grant;
-    const double most = std::min(s_.max_grant_share, kGrantPart * share_);
+    const double most = std::min(s_.max_grant_share, std::max(kGrantPart * share_, kGrantFloor));
     return e.memory_mb > 0 ? std::min(want, e.memory_mb * most) : want;
   }
 
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -634,6 +634,18 @@
   EXPECT_EQ(sink.sent.size(), 2u);
 }
 
+// With twelve gateways the cap fell below an ordinary query's need: all of them spilled.
+TEST_F(Module, ManyGatewaysDoNotMakeOrdinaryQueriesSpill) {
+  s.gateways = 20;
+  s.grants = true;
+  begin(1);  // 16000 MB: this gateway's part is 800
+  Query q = query(1);
+  q.memory_mb = 1500;
+  take(q);
+  ASSERT_EQ(sink.sent.size(), 1u);
+  EXPECT_GE(sink.terms.at(1).second, 1500);
+}
+
 // Reports once filled the engines and lookups stood in their lines for memory.
 TEST_F(Module, GrantsStayWithinThisGatewaysPartAndShrinkWhenQueriesWaitForMemory) {
   s.gateways = 2;
