Routing loses its dead third pass

Cause: when loads were kept apart, the pass that sent queries behind a load lost its condition but stayed in the loop, so each held query walked the engines a third time for nothing; and without attempts the second pass too.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -470,12 +470,12 @@
 
   Engine* route(const Held& h, TimeUs now) {
     const auto order = walk_order(h);
-    for (const int pass :
-         {0, 1, 2}) {  // 1: also engines already tried; 2: also where a load stalls the group
+    for (const bool again : {false, true}) {  // first engines not tried yet, then those too
+      if (again && h.attempts.empty()) break;
       for (Engine* e : order) {
         const bool tried = std::any_of(h.attempts.begin(), h.attempts.end(),
                                        [&](const Attempt& a) { return a.engine == e->entry.id; });
-        if (pass < 1 && tried) continue;
+        if (!again && tried) continue;
         if (stalled_for(h, *e, now)) continue;
         if (!healthy(*e, h, now) || !may_send(h, *e, now)) continue;
         if (!memory_allows(h, *e, now)) continue;
