An engine with an overdue query counts as slow at once; slow engines' slices shrink

Change: an overdue query counts as one slowest answer; the first answers of an engine count in full (few are seen at size) and fade to the mean of all; slices shrink by the square of what an engine is slower than 1.5 times that mean.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -20,6 +20,7 @@
 constexpr TimeUs kWindow = 5'000 * kMs;      // enforcement window (DESIGN)
 constexpr double kMeanBound = 1.25;          // x this gateway's mean threads per engine (DESIGN)
 constexpr double kThreadsPerCore = 2.0;      // threads per core, all gateways together (DESIGN)
+constexpr double kHot = 1.5;                 // x the mean slowdown from which an engine's slices shrink
 constexpr double kPressure = 2.0;            // slowdown from which the bounds bind: answers take twice
 constexpr TimeUs kFullMemory = 1'000 * kMs;  // a "full" answer or a wait for memory is pressure for this long
 constexpr double kCrowdStep = 0.8, kCrowdLeast = 0.3, kCrowdBack = 0.004;  // step down, floor, step up a tick
@@ -27,7 +28,7 @@
 constexpr TimeUs kAnswerMargin = 60 * kMs;   // a held query is answered this long before its time ends
 constexpr double kOverdue = 4.0;             // x what its class takes now: an answer counts as lost
 constexpr double kSilenceFloor = 700 * kMs;  // and never sooner than this
-constexpr double kNotesMissed = 3.0;         // x the progress interval without a sign of life: silent
+constexpr TimeUs kNotesMissed = 3;           // x the progress interval without a sign of life: silent
 constexpr TimeUs kTrial = 1'500 * kMs;       // a suspect engine gets one trial query this often
 constexpr double kEngineWeight = 0.2;        // weight of one answer in an engine's slowdown and errors
 constexpr double kErrorShare = 0.3;          // share of failed answers from which an engine is suspect
@@ -41,7 +42,6 @@
 constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
 constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
 constexpr double kColdOne = 0.2;             // of the whole allowance that one query of a turn may take
-constexpr TimeUs kTurn = 40 * kMs;           // each gateway's turn at a place that a load left free
 constexpr double kLoadLength = 8.0;          // x its ideal time that a neighbour's load is believed to last
 constexpr int kTriedRank = 100;              // engines tried before come after all others
 constexpr size_t kOrdersMost = 4096;         // groups whose order is kept
@@ -74,6 +74,7 @@
   double grant_mb = 0;  // 0: left to the engine
   bool spilled = false;
   bool open = true;
+  bool late = false;      // overdue, though its engine may live
   bool given_up = false;  // its engine fell silent, or it was cancelled
   OutcomeKind outcome = OutcomeKind::kOk;
 };
@@ -106,8 +107,8 @@
   std::map<std::int64_t, TimeUs> stalled;      // table group: until when a load is known to stall readers
   std::deque<std::pair<TimeUs, double>> sent;  // work sent while cold
   std::set<std::pair<QueryId, int>> out;
-  double slowdown = 1;
-  double room = 1;  // part of its share of memory that this gateway still finds free
+  double slowdown = 1, answers = 0;  // x the ideal time; how many answers tell of it, fading
+  double room = 1;                   // part of its share of memory that this gateway still finds free
   double errors = 0;
   TimeUs last_sign = 0;  // of life: an answer or a note
   TimeUs last_full = -kWindow;
@@ -253,7 +254,7 @@
   void on_client_gone(TimeUs now, QueryId id, ActionSink& sink) override {
     const auto it = queries_.find(id);
     if (it == queries_.end()) return;
-    if (!it->second.ended) end(it->second);
+    end(it->second);
     cancel_open(it->second, sink);
     forget_if_over(now, id);
     pump(now, sink);
@@ -261,16 +262,13 @@
 
   void on_probe(TimeUs, const EngineId&, bool, const LoadReport&, ActionSink&) override {}
 
-  // A neighbour's load began (its usual length follows, in ticks) or ended (0) on an engine. A place that
-  // is free again is taken in turn, lest all gateways that hold loads jump at it together.
-  void on_peer(TimeUs now, int peer, const std::string& bytes, ActionSink&) override {
+  // A neighbour's load began on an engine, or ended (0 ticks).
+  void on_peer(TimeUs now, int, const std::string& bytes, ActionSink&) override {
     LoadNews news;
     if (bytes.size() != sizeof news) return;
     std::memcpy(&news, bytes.data(), sizeof news);
-    const int turn = ((s_.self - peer) % s_.gateways + s_.gateways) % s_.gateways;
     for (auto& [id, e] : engines_)
-      if (e.hash == news.engine)
-        e.stalled[news.group] = now + (news.ticks > 0 ? news.ticks * kTick : turn * kTurn);
+      if (e.hash == news.engine) e.stalled[news.group] = now + news.ticks * kTick;
   }
 
   void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
@@ -283,8 +281,11 @@
     if (token == kTokenTick) {
       sink.set_timer(kTick, kTokenTick);
       update_share(now);
-      for (auto& [id, e] : engines_)
+      for (auto& [id, e] : engines_) {
         if (now - e.last_full > kFullMemory) e.room = std::min(1.0, e.room + kCrowdBack);
+        e.slowdown += kCrowdBack * (pool_.slowdown - e.slowdown);
+        e.answers *= 1 - kCrowdBack;
+      }
       watch_silence(now, sink);
       std::erase_if(keys_, [&](auto& k) { return k.second.line.empty() && k.second.rest_until <= now; });
     }
@@ -311,8 +312,8 @@
   double expected_cost(const Query& q) const {
     const auto c = static_cast<size_t>(q.class_index);
     const Learned& l = learned_[c];
-    if (q.cost_estimate > 0)
-      return static_cast<double>(q.cost_estimate) * (l.estimated > 0 ? l.told / l.estimated : 1.0);
+    const double bias = l.estimated > 0 ? l.told / l.estimated : 1.0;
+    if (q.cost_estimate > 0) return static_cast<double>(q.cost_estimate) * bias;
     return l.mean > 0 ? l.mean : static_cast<double>(s_.classes[c].aim) * 0.5;
   }
 
@@ -371,11 +372,17 @@
     if (slow > 0) l.slow += kLearnWeight * (slow - l.slow);
     if (slow > 0 && !c.load) {
       pool_.slowdown += kLearnWeight * (slow - pool_.slowdown);
-      e.slowdown += kEngineWeight * (slow - e.slowdown);
+      learn_slowdown(e, slow);
     }
     if (o.told_memory_mb || !a.spilled) learn_grant(l, a, o.told_memory_mb.value_or(0) > a.grant_mb);
   }
 
+  // Hundreds of gateways each see an engine once in seconds: the first answer counts in full, more ever less.
+  static void learn_slowdown(Engine& e, double slow) {
+    e.answers += 1;
+    e.slowdown += std::max(kEngineWeight, 1 / e.answers) * (slow - e.slowdown);
+  }
+
   // --- Budget ledger --------------------------------------------------------------------------------------
   // Even (DESIGN); a gateway that takes more than an even part of the tenants' quotas has that part instead.
   void update_share(TimeUs now) {
@@ -412,9 +419,9 @@
     if (h.q.tenant.empty()) return 0;
     const double left = budget(e, h.q.tenant);
     const double all = slice(e);
-    if (left > 0 && h.cost <= all) return 0;
+    const double heat = std::max(1.0, e.slowdown / (kHot * pool_.slowdown));
     const double turn = left < all ? 1.0 : turn_at(e, window_);
-    const double ratio = turn * (h.cost + all - left) / all;
+    const double ratio = heat * heat * (left > 0 && h.cost <= all ? 1.0 : turn * (h.cost + all - left) / all);
     return ratio <= 1 ? 0 : std::ilogb(ratio) + 1;
   }
 
@@ -744,8 +751,7 @@
   // --- Engine health --------------------------------------------------------------------------------------
   // A suspect engine gets one trial query at a time, of a class that is safe to repeat.
   bool healthy(const Engine& e, const Held& h, TimeUs now) const {
-    if (!e.suspect) return true;
-    return cls(h).effect == Effect::kIdempotent && h.attempts.empty() && now >= e.next_trial;
+    return !e.suspect || (cls(h).effect == Effect::kIdempotent && h.attempts.empty() && now >= e.next_trial);
   }
 
   void clear_suspicion(Engine& e) {
@@ -780,46 +786,40 @@
   // are none, after several times what its class takes now. It goes elsewhere; its engine is silent if
   // nothing came back since.
   void watch_silence(TimeUs now, ActionSink& sink) {
-    std::vector<std::pair<QueryId, int>> overdue;
     for (auto& [id, e] : engines_) {
       for (const auto& [query, n] : e.out) {
-        const Held& h = queries_.at(query);
-        const Attempt& a = h.attempts[static_cast<size_t>(n)];
+        Held& h = queries_.at(query);
+        Attempt& a = h.attempts[static_cast<size_t>(n)];
         if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
         const bool notes = s_.progress_interval > 0;
-        const double patience = notes ? kNotesMissed * static_cast<double>(s_.progress_interval)
-                                      : std::max(kOverdue * learned(h).slow * ideal(h), kSilenceFloor);
-        const TimeUs since = notes ? std::max(a.sent_at, e.last_sign) : a.sent_at;
-        if (static_cast<double>(now - since) < patience) continue;
-        overdue.emplace_back(query, n);
-        if (e.last_sign <= a.sent_at || notes) suspect(e, now);
+        const bool quiet = now - std::max(a.sent_at, e.last_sign) > kNotesMissed * s_.progress_interval;
+        const double patience = std::max(kOverdue * learned(h).slow * ideal(h), kSilenceFloor);
+        const bool late = static_cast<double>(now - a.sent_at) > patience;
+        if (late && !a.late) learn_slowdown(e, kSlowMost);
+        a.late = a.late || late;
+        if (notes ? !quiet : !late) continue;
+        rescue(now, h, n, sink);
+        if (notes ? quiet : e.last_sign <= a.sent_at) suspect(e, now);
       }
     }
-    for (const auto& [query, n] : overdue) rescue(now, queries_.at(query), n, sink);
   }
 
   // A query stuck on a silent engine goes elsewhere, as a second copy or after a cancel.
   void rescue(TimeUs now, Held& h, int n, ActionSink& sink) {
-    Attempt& a = h.attempts[static_cast<size_t>(n)];
-    if (a.given_up) return;
-    a.given_up = true;
+    h.attempts[static_cast<size_t>(n)].given_up = true;
     if (h.ended || cls(h).effect == Effect::kAtMostOnce) return;
-    if (s_.limits.cancel) {
-      sink.cancel(h.q.id, n);
-    } else if (s_.limits.second_copies && !h.waiting && now < give_up_at(h)) {
-      hold(h);
-    }
+    if (s_.limits.cancel) return sink.cancel(h.q.id, n);
+    if (s_.limits.second_copies && !h.waiting && now < give_up_at(h)) hold(h);
   }
 
   Settings s_;
   bool started_ = false;
-  TimeUs started_at_ = 0, reset_at_ = 0;
-  TimeUs ask_again_ = 0;
+  TimeUs started_at_ = 0, reset_at_ = 0, ask_again_ = 0;
   double share_, quota_ = 0;
   std::uint64_t seq_ = 0, window_ = 0;
   Pool pool_;
-  std::map<std::pair<std::int64_t, bool>, std::vector<Engine*>> orders_;
-  double mean_value_ = 0, mean_work_ = 0;  // of a query: worth, us of CPU
+  std::map<std::pair<std::int64_t, bool>, std::vector<Engine*>> orders_;  // by group, loads apart
+  double mean_value_ = 0, mean_work_ = 0;                                 // of a query: worth, us of CPU
   std::map<EngineId, Engine> engines_;
   std::map<QueryId, Held> queries_;
   std::map<std::string, KeyLine> keys_;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -655,6 +655,35 @@
   EXPECT_EQ(resets.size(), 4u);
 }
 
+// Jammed engines answered nobody, so nobody learned that they were slow: each gateway went on sending its
+// part.
+TEST_F(Module, AnEngineWithAnOverdueQueryIsPassedOverWhereNotesStillCome) {
+  s.gateways = 1;
+  s.progress_interval = 500 * kMs;
+  s.tenants = {{"a", 1, 0}};
+  begin(4);
+  Query q = query(1, 7);
+  q.tenant = "a";
+  take(q);
+  const EngineId jammed = sink.sent.at(0).engine;
+  for (int step = 0; step < 4; ++step) {
+    Note n;
+    n.query = 1;
+    n.engine = jammed;
+    n.value = 0.01;
+    run_until(sink.now + 400 * kMs);
+    module->on_note(sink.now, n, sink);
+  }
+  q.id = 2;
+  take(q);
+  EXPECT_NE(sink.sent.at(1).engine, jammed);
+  EXPECT_TRUE(sink.cancelled.empty());  // it lives and works
+  run_until(30 * kSecond);
+  q.id = 3;
+  take(q);
+  EXPECT_EQ(sink.sent.back().engine, jammed);  // what is known of it fades
+}
+
 // An even part of a cold engine's allowance was below one query: a replaced fleet got nothing until it was
 // warm.
 TEST_F(Module, AColdEnginesAllowanceIsUsedByAllGatewaysTogetherAndNotPassed) {
