--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -421,7 +421,7 @@
     const double all = slice(e);
     const double heat = std::max(1.0, e.slowdown / (kHot * pool_.slowdown));
     const double turn = left < all ? 1.0 : turn_at(e, window_);
-    const double ratio = heat * heat * (left > 0 && h.cost <= all ? 1.0 : turn * (h.cost + all - left) / all);
+    const double ratio = heat * heat * (h.cost <= all ? 1.0 : turn * (h.cost + all - left) / all);
     return ratio <= 1 ? 0 : std::ilogb(ratio) + 1;
   }
 
