Engines that a class is bound to are spared; neighbours are told of a slow engine

Change: slices of engines that some class is bound to shrink for others by what the bound classes ask; the first gateway that finds an engine slow tells its neighbours; loads and readers behind a load are not called late.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -20,6 +20,7 @@
 constexpr TimeUs kWindow = 5'000 * kMs;      // enforcement window (DESIGN)
 constexpr double kMeanBound = 1.25;          // x this gateway's mean threads per engine (DESIGN)
 constexpr double kThreadsPerCore = 2.0;      // threads per core, all gateways together (DESIGN)
+constexpr double kFreeLeast = 0.05;          // of an engine that is left to classes that are not bound to it
 constexpr double kHot = 1.5;                 // x the mean slowdown from which an engine's slices shrink
 constexpr double kPressure = 2.0;            // slowdown from which the bounds bind: answers take twice
 constexpr TimeUs kFullMemory = 1'000 * kMs;  // a "full" answer or a wait for memory is pressure for this long
@@ -36,16 +37,16 @@
 constexpr double kMeanWeight = 0.01;         // weight of one query in the mean worth and work
 constexpr double kSlowMost = 10.0;           // one answer counts as at most this slow: loads stall readers
 constexpr double kGrantSpill = 0.10;         // share of queries that may need more memory than granted
-constexpr double kGrantPart = 0.6;           // of this gateway's part of an engine that one query gets
 constexpr double kGrantFloor = 0.2;          // or of the engine, if more: with many gateways parts are tiny
 constexpr double kGrantStart = 1.25;         // x the estimate, before anything is learned
 constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
 constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
 constexpr double kColdOne = 0.2;             // of the whole allowance that one query of a turn may take
 constexpr double kLoadLength = 8.0;          // x its ideal time that a neighbour's load is believed to last
-constexpr int kTriedRank = 100;              // engines tried before come after all others
-constexpr size_t kOrdersMost = 4096;         // groups whose order is kept
-constexpr size_t kScanMost = 48;             // held queries tried for a place at one event
+constexpr std::uint32_t kAllGroups = 0xffffffff;  // in news: no load, the engine is slow
+constexpr int kTriedRank = 100;                   // engines tried before come after all others
+constexpr size_t kOrdersMost = 4096;              // groups whose order is kept
+constexpr size_t kScanMost = 48;                  // held queries tried for a place at one event
 constexpr std::uint64_t kTokenTick = 1, kTokenReset = 2, kTokenWake = 3;
 
 std::uint64_t mix(std::uint64_t x) {
@@ -66,9 +67,7 @@
 
 // --- Records ----------------------------------------------------------------------------------------------
 struct Attempt {
-  EngineId engine;
-  std::string zone;
-  int cell = 0;
+  EngineEntry to;
   TimeUs sent_at = 0;
   double charge = 0;    // us of CPU taken from the budget
   double grant_mb = 0;  // 0: left to the engine
@@ -119,6 +118,7 @@
 struct Learned {
   double told = 0, estimated = 0;  // decayed sums: how far estimates of cost are off
   double mean = 0;                 // us of CPU; 0: nothing learned yet
+  double work = 0, cores = 0;      // us of CPU that it asks for in each query; cores that it may use
   double slow = 1;                 // x the ideal time that answers take
   double base = 0;                 // where costs are not told: latency x threads per estimate when calm
   double grant = kGrantStart, grants = 0;  // multiple of the estimate; how often it was learned
@@ -130,12 +130,6 @@
   double slowdown = 1;                 // mean over the answers of all engines
 };
 
-struct LoadNews {  // to neighbours, as it lies in memory
-  std::uint64_t engine = 0;
-  std::uint32_t group = 0;
-  std::uint32_t ticks = 0;  // expected length; 0: it ended
-};
-
 struct KeyLine {
   std::deque<QueryId> line;
   TimeUs rest_until = 0;
@@ -143,11 +137,11 @@
 
 class WorkloadBudget final : public DecisionModule {
  public:
-  explicit WorkloadBudget(const Settings& settings) : s_(settings), share_(1.0 / s_.gateways) {
+  explicit WorkloadBudget(const Settings& settings)
+      : s_(settings), share_(1.0 / s_.gateways), learned_(s_.classes.size()) {
     if (s_.gateways < 1 || s_.classes.empty()) throw std::invalid_argument("no gateways or no classes");
     for (const auto& c : s_.classes)
       if (c.threads < 1 || c.deadline <= 0) throw std::invalid_argument("class without threads or deadline");
-    learned_.resize(s_.classes.size());
     for (const auto& t : s_.tenants) quota_ += t.quota_per_s;
   }
 
@@ -155,29 +149,30 @@
   void on_engines(TimeUs now, ListKind kind, const std::vector<EngineEntry>& entries,
                   ActionSink& sink) override {
     start(now, sink);
-    if (kind == ListKind::kError) {
-      if (s_.must_ask_discovery) sink.set_timer(1'000 * kMs, kTokenWake), ask_again_ = now + 1'000 * kMs;
-      return;
-    }
+    if (kind == ListKind::kError && s_.must_ask_discovery)
+      ask_again_ = now + 1'000 * kMs;  // seen by the tick
+    if (kind == ListKind::kError) return;
     if (kind != ListKind::kDelta)
       for (auto& [id, e] : engines_) e.listed = false;
     for (const auto& entry : entries) {
       Engine& e = engines_[entry.id];
-      const bool restarted = !e.entry.id.empty() && e.entry.started_at != entry.started_at;
+      if (!e.entry.id.empty() && e.entry.started_at != entry.started_at) clear_suspicion(e), e.slowdown = 1;
       e.entry = entry;
       e.hash = hash_text(entry.id);
       e.listed = entry.state == EngineState::kInService;
       for (const auto& k : s_.kinds)
         if (k.name == entry.kind) e.cores = std::max(1, k.cores), e.memory_mb = k.memory_mb;
-      if (restarted) clear_suspicion(e), e.slowdown = 1;
     }
     std::erase_if(engines_, [](const auto& p) { return !p.second.listed && p.second.out.empty(); });
     orders_.clear();
     pool_.engines = pool_.cores = pool_.memory_mb = 0;
+    for (Learned& l : learned_) l.cores = 0;
     for (const auto& [id, e] : engines_) {
       pool_.engines += e.listed;
       pool_.cores += e.listed * e.cores;
       pool_.memory_mb += e.listed * e.memory_mb;
+      for (size_t c = 0; c < learned_.size(); ++c)
+        learned_[c].cores += e.listed * placement_allows(s_.classes[c], e) * e.cores;
     }
     pump(now, sink);
   }
@@ -198,6 +193,7 @@
     const double w = mean_work_ > 0 ? kMeanWeight : 1;
     mean_value_ += w * (c.value - mean_value_);
     mean_work_ += w * (h.cost - mean_work_);
+    for (Learned& l : learned_) l.work += w * ((&l == &learned(h) ? h.cost : 0.0) - l.work);
     hold(h);
     if (c.in_order && !q.key.empty()) {
       keys_[q.key].line.push_back(q.id);
@@ -221,22 +217,21 @@
     judge(now, a, o);
     if (o.ended) end(h);
     if (!h.ended) next_step(now, h, sink);
-    const bool load = cls(h).load;
-    const std::int64_t group = h.q.table_group;
-    const Engine& e = engines_.at(a.engine);
+    const std::int64_t freed = cls(h).load ? h.q.table_group : kAllGroups;
+    const Engine& e = engines_.at(a.to.id);
     forget_if_over(now, o.query);
     pump(now, sink);  // told as free only if no load of this gateway took the place
-    if (load && e.loads.count(group) == 0) tell_load(group, e, 0, sink);
+    if (freed != kAllGroups && e.loads.count(freed) == 0) tell(freed, e, 0, sink);
   }
 
   void on_note(TimeUs now, const Note& n, ActionSink& sink) override {
     const auto it = queries_.find(n.query);
-    if (it == queries_.end() || n.attempt < 0) return;
+    if (it == queries_.end() || n.attempt < 0 || n.attempt >= static_cast<int>(it->second.attempts.size()))
+      return;
     Held& h = it->second;
-    if (n.attempt >= static_cast<int>(h.attempts.size())) return;
     Attempt& a = h.attempts[static_cast<size_t>(n.attempt)];
     if (!a.open) return;
-    Engine& e = engines_.at(a.engine);
+    Engine& e = engines_.at(a.to.id);
     e.last_sign = now;
     if (e.suspect && e.errors < kErrorShare) clear_suspicion(e);
     if (n.kind == NoteKind::kSpill && !a.spilled) {
@@ -262,13 +257,18 @@
 
   void on_probe(TimeUs, const EngineId&, bool, const LoadReport&, ActionSink&) override {}
 
-  // A neighbour's load began on an engine, or ended (0 ticks).
+  // A neighbour's load began on an engine, or ended (0 ticks), or it found the engine slow for all groups.
   void on_peer(TimeUs now, int, const std::string& bytes, ActionSink&) override {
-    LoadNews news;
+    std::uint64_t news[2];  // engine; table group and ticks that a load is expected to take
     if (bytes.size() != sizeof news) return;
-    std::memcpy(&news, bytes.data(), sizeof news);
+    std::memcpy(news, bytes.data(), sizeof news);
     for (auto& [id, e] : engines_)
-      if (e.hash == news.engine) e.stalled[news.group] = now + news.ticks * kTick;
+      if (e.hash == news[0] && news[1] >> 16 == kAllGroups) {
+        learn_slowdown(e, kSlowMost);
+      } else if (e.hash == news[0]) {
+        e.stalled[static_cast<std::int64_t>(news[1] >> 16)] =
+            now + static_cast<TimeUs>(news[1] & 0xffff) * kTick;
+      }
   }
 
   void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
@@ -321,7 +321,7 @@
 
   double grant_for(const Held& h, const Engine& e) {
     if (!s_.grants || h.q.memory_mb <= 0) return 0;
-    const double most = std::min(s_.max_grant_share, std::max(kGrantPart * share_, kGrantFloor));
+    const double most = std::min(s_.max_grant_share, kGrantFloor);
     return e.memory_mb > 0 ? std::min(wanted_mb(h), e.memory_mb * most) : wanted_mb(h);
   }
 
@@ -334,7 +334,7 @@
 
   // An answer corrects its charge and teaches costs, memory and the engine's slowdown.
   void settle(const Held& h, Attempt& a, const Outcome& o) {
-    Engine& e = engines_.at(a.engine);  // kept while anything is out there
+    Engine& e = engines_.at(a.to.id);  // kept while anything is out there
     const ClassSettings& c = cls(h);
     const double spent = o.told_cost && o.kind == OutcomeKind::kOk
                              ? static_cast<double>(*o.told_cost)
@@ -403,6 +403,15 @@
     return it->second;
   }
 
+  // Guards against filling engines that other classes are bound to: what those leave there is free.
+  double free_part(const Held& h, const Engine& e) const {
+    double free = 1;
+    for (size_t c = 0; c < learned_.size() && !cls(h).zones && !cls(h).kinds; ++c)
+      if ((s_.classes[c].zones || s_.classes[c].kinds) && placement_allows(s_.classes[c], e))
+        free -= learned_[c].work / mean_work_ * pool_.cores / learned_[c].cores;
+    return std::max(free, kFreeLeast);
+  }
+
   // This gateway's place, 0 to 1, in the line that all gateways form for an engine in a window, each at its
   // own.
   double turn_at(const Engine& e, std::uint64_t window) const {
@@ -411,14 +420,14 @@
     return place - std::floor(place);
   }
 
-  // Guards against slices below one charge (DESIGN's weak point): each would let one query through, and all
-  // gateways' first queries would meet at the group's home. Such slices are dealt whole: of all gateways, the
-  // part slice / charge has its turn at an engine in a window. 0: its turn, or the slice is not spent; else
-  // how often the slice must double before it is.
+  // Guards against slices below one charge (DESIGN's weak point): each would let one query through, all at
+  // the group's home. Such slices are dealt whole: of all gateways, the part slice / charge has its turn at
+  // an engine in a window. 0: its turn; else how often the slice must double before it is; hot engines'
+  // slices shrink.
   int out_of_turn(const Held& h, Engine& e) {
     if (h.q.tenant.empty()) return 0;
     const double left = budget(e, h.q.tenant);
-    const double all = slice(e);
+    const double all = slice(e) * free_part(h, e);
     const double heat = std::max(1.0, e.slowdown / (kHot * pool_.slowdown));
     const double turn = left < all ? 1.0 : turn_at(e, window_);
     const double ratio = heat * heat * (h.cost <= all ? 1.0 : turn * (h.cost + all - left) / all);
@@ -426,11 +435,11 @@
   }
 
   // Readers and other loads of the group stand still behind a load: neighbours that can hear are told of it.
-  void tell_load(std::int64_t group, const Engine& e, double length, ActionSink& sink) {
+  void tell(std::int64_t group, const Engine& e, double length, ActionSink& sink) {
     if (!s_.limits.peers || s_.gateways < 2) return;
-    const LoadNews news{e.hash, static_cast<std::uint32_t>(group),
-                        static_cast<std::uint32_t>(length / kTick)};
-    sink.tell_all({reinterpret_cast<const char*>(&news), sizeof news});
+    const auto ticks = static_cast<std::uint64_t>(std::min(length / kTick, 65535.0));
+    const std::uint64_t news[2] = {e.hash, static_cast<std::uint64_t>(group) << 16 | ticks};
+    sink.tell_all({reinterpret_cast<const char*>(news), sizeof news});
   }
 
   // --- Routing --------------------------------------------------------------------------------------------
@@ -490,10 +499,6 @@
     return !s_.grants || pool_.granted_mb + wanted_mb(h) <= pool_.memory_mb * share_;
   }
 
-  bool pressed(const Engine& e, TimeUs now) const {
-    return e.slowdown > kPressure || now - e.last_full < kFullMemory;
-  }
-
   // The first engine of the group's order whose turn it is, else the one nearest to its turn.
   Engine* route(const Held& h, TimeUs now) {
     Engine* best = nullptr;
@@ -501,13 +506,14 @@
     if (!pool_allows(h)) return nullptr;
     for (Engine* e : walk_order(h.q.table_group, cls(h).load)) {
       const bool tried = std::any_of(h.attempts.begin(), h.attempts.end(),
-                                     [&](const Attempt& a) { return a.engine == e->entry.id; });
+                                     [&](const Attempt& a) { return a.to.id == e->entry.id; });
       const int rank = out_of_turn(h, *e) + (tried ? kTriedRank : 0);
       if (best && rank >= best_rank) continue;
       if (stalled_for(h, *e, now) || !healthy(*e, h, now)) continue;
       if (!may_send(h, *e, now) || !memory_allows(h, *e)) continue;
       const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant) > 0;
-      if ((!open || pressed(*e, now)) && !under_bounds(h, *e)) continue;
+      const bool pressed = e->slowdown > kPressure || now - e->last_full < kFullMemory;
+      if ((!open || pressed) && !under_bounds(h, *e)) continue;
       best = e;
       best_rank = rank;
       if (rank == 0) break;
@@ -549,25 +555,20 @@
     }
   }
 
-  // A key's queries run one at a time, so a busy key has a longer line than it can serve. Refuses early, the
-  // longest first, until the rest can start in time (Moore and Hodgson's rule: the fewest are turned away).
+  // A key's queries run one at a time, so a busy key has a longer line than it can serve. Refuses the longest
+  // early, until the rest can start in time (Moore and Hodgson's rule: the fewest are turned away).
   void thin_key_line(TimeUs now, const std::string& key, ActionSink& sink) {
     double start = static_cast<double>(now);
     Held* longest = nullptr;
     for (const QueryId id : keys_.at(key).line) {
       Held& h = queries_.at(id);
-      if (h.ended) continue;
-      const bool sent = !h.attempts.empty();
-      start += std::max(sent ? ideal(h) - static_cast<double>(now - h.attempts.back().sent_at) : 0.0, 0.0);
-      if (sent) continue;
-      if (!longest || h.cost > longest->cost) longest = &h;
-      if (start > static_cast<double>(give_up_at(h))) {
-        const QueryId out = longest->q.id;
+      if (!h.ended && h.attempts.empty() && (!longest || h.cost > longest->cost)) longest = &h;
+      if (longest && start > static_cast<double>(give_up_at(h))) {
         answer(now, *longest, sink);
-        forget_if_over(now, out);
+        forget_if_over(now, longest->q.id);
         return thin_key_line(now, key, sink);
       }
-      start += ideal(h);
+      start += h.ended ? 0 : ideal(h);
     }
   }
 
@@ -576,10 +577,7 @@
     size_t tried = 0;
     for (auto it = line_.begin(); it != line_.end() && tried++ < kScanMost;) {
       Held& h = queries_.at(std::get<2>(*it++));
-      if (Engine* e = route(h, now)) {
-        unhold(h);
-        send(now, h, *e, sink);
-      }
+      if (Engine* e = route(h, now)) send(now, h, *e, sink);
     }
   }
 
@@ -598,8 +596,8 @@
     for (const Attempt& a : h.attempts) {
       if ((!a.open && never_ran(a.outcome)) || c.effect == Effect::kIdempotent) continue;
       if (c.effect == Effect::kAtMostOnce) return false;
-      if (c.repeat_scope == RepeatScope::kZone && a.zone != e.entry.zone) return false;
-      if (c.repeat_scope == RepeatScope::kCell && a.cell != e.entry.cell) return false;
+      if (c.repeat_scope == RepeatScope::kZone && a.to.zone != e.entry.zone) return false;
+      if (c.repeat_scope == RepeatScope::kCell && a.to.cell != e.entry.cell) return false;
       if (now >= a.sent_at + c.repeat_window) return false;
     }
     return true;
@@ -650,13 +648,12 @@
 
   // --- Attempts and answers -------------------------------------------------------------------------------
   void send(TimeUs now, Held& h, Engine& e, ActionSink& sink) {
-    if (!may_send(h, e, now)) return hold(h);
+    if (!may_send(h, e, now)) return;
+    unhold(h);
     const ClassSettings& c = cls(h);
     if (!h.attempts.empty() && s_.rules.attempts_rationed) extras_.push_back(now);
     Attempt a;
-    a.engine = e.entry.id;
-    a.zone = e.entry.zone;
-    a.cell = e.entry.cell;
+    a.to = e.entry;
     a.sent_at = now;
     a.charge = h.cost;
     a.grant_mb = grant_for(h, e);
@@ -667,7 +664,7 @@
     e.granted_mb += a.grant_mb;
     pool_.threads += c.threads;
     pool_.granted_mb += a.grant_mb;
-    if (c.load) ++e.loads[h.q.table_group], tell_load(h.q.table_group, e, kLoadLength * ideal(h), sink);
+    if (c.load) ++e.loads[h.q.table_group], tell(h.q.table_group, e, kLoadLength * ideal(h), sink);
     if (cold(e, now)) {
       while (!e.sent.empty() && e.sent.front().first < now - 2 * s_.rules.fall_window) e.sent.pop_front();
       e.sent.emplace_back(now, h.cost);
@@ -765,7 +762,7 @@
   }
 
   void judge(TimeUs now, const Attempt& a, const Outcome& o) {
-    Engine& e = engines_.at(a.engine);
+    Engine& e = engines_.at(a.to.id);
     if (o.kind == OutcomeKind::kOk) {
       e.last_sign = now;
       e.errors *= 1 - kEngineWeight;
@@ -781,10 +778,10 @@
     }
   }
 
-  // Guards against an engine that takes work and answers nothing (budgets alone would reopen it at each
-  // reset) and against answers lost on the way: a query is overdue when its notes stay away or, where there
-  // are none, after several times what its class takes now. It goes elsewhere; its engine is silent if
-  // nothing came back since.
+  // Guards against engines that answer nothing (each reset reopened them) and against answers lost on the
+  // way: a query is overdue when its notes stay away or, without notes, after several times what its class
+  // takes now. It goes elsewhere; its engine is silent if nothing came back since. Late with notes: the
+  // engine is slow.
   void watch_silence(TimeUs now, ActionSink& sink) {
     for (auto& [id, e] : engines_) {
       for (const auto& [query, n] : e.out) {
@@ -795,7 +792,10 @@
         const bool quiet = now - std::max(a.sent_at, e.last_sign) > kNotesMissed * s_.progress_interval;
         const double patience = std::max(kOverdue * learned(h).slow * ideal(h), kSilenceFloor);
         const bool late = static_cast<double>(now - a.sent_at) > patience;
-        if (late && !a.late) learn_slowdown(e, kSlowMost);
+        if (late && !a.late && !cls(h).load && !stalled_for(h, e, now)) {
+          if (e.slowdown < kHot * pool_.slowdown) tell(kAllGroups, e, 0, sink);
+          learn_slowdown(e, kSlowMost);
+        }
         a.late = a.late || late;
         if (notes ? !quiet : !late) continue;
         rescue(now, h, n, sink);
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -28,7 +28,7 @@
   void probe(const EngineId&) override {}
   void subscribe() override { ++subscribed; }
   void fetch_list() override {}
-  void tell_all(const std::string&) override {}
+  void tell_all(const std::string& bytes) override { told.push_back(bytes); }
   void set_timer(TimeUs delay, std::uint64_t token) override { timers.emplace(now + delay, token); }
   void log(const std::string&) override {}
 
@@ -36,6 +36,7 @@
   std::vector<Sent> sent;
   std::map<QueryId, TimeUs> refused;
   std::set<QueryId> failed;
+  std::vector<std::string> told;
   std::vector<std::pair<QueryId, int>> cancelled;
   std::map<QueryId, std::pair<int, double>> terms;
   std::multimap<TimeUs, std::uint64_t> timers;
@@ -684,6 +685,63 @@
   EXPECT_EQ(sink.sent.back().engine, jammed);  // what is known of it fades
 }
 
+// Queries that may go anywhere filled the engines that one class is bound to, while the others stood idle.
+TEST_F(Module, EnginesThatAClassIsBoundToAreSparedByOthers) {
+  s.gateways = 50;
+  s.tenants = {{"a", 1, 0}};
+  ClassSettings bound = plain_class();
+  bound.name = "bound";
+  bound.kinds = std::vector<std::string>{"big"};
+  s.classes.push_back(bound);
+  int to_big = 0, all = 0;
+  for (s.self = 0; s.self < s.gateways; ++s.self) {
+    sink = FakeSink();
+    list.clear();
+    begin(20);
+    for (QueryId id = 1; id <= 20; ++id) {
+      Query q = query(id, id);
+      q.tenant = "a";
+      q.class_index = id % 2 == 0 ? 0 : 1;
+      q.cost_estimate = 1 * kSecond;
+      take(q);
+    }
+    for (const Sent& x : sink.sent) {
+      if (x.query % 2 != 0) continue;
+      const auto e = std::find_if(list.begin(), list.end(), [&](auto& y) { return y.id == x.engine; });
+      to_big += e->kind == "big";
+      ++all;
+    }
+  }
+  ASSERT_GT(all, 200);
+  EXPECT_LT(to_big, all * 45 / 100);  // two thirds of the cores are big
+}
+
+// A jammed engine is met by each of hundreds of gateways once in seconds: the first to find it tells the
+// others.
+TEST_F(Module, ANeighboursNewsOfASlowEngineIsHeeded) {
+  s.gateways = 2;
+  s.limits.peers = true;
+  s.limits.cancel = false;
+  s.progress_interval = 20 * kSecond;
+  s.tenants = {{"a", 1, 0}};
+  begin(4);
+  Query q = query(1, 7);
+  q.tenant = "a";
+  take(q);
+  const EngineId home = sink.sent.at(0).engine;
+  run_until(1 * kSecond);
+  ASSERT_EQ(sink.told.size(), 1u);
+  const std::string news = sink.told.at(0);
+  sink = FakeSink();
+  list.clear();
+  s.self = 1;
+  begin(4);
+  module->on_peer(sink.now, 0, news, sink);
+  module->on_peer(sink.now, 0, "odd", sink);  // not ours: ignored
+  take(q);
+  EXPECT_NE(sink.sent.at(0).engine, home);
+}
+
 // An even part of a cold engine's allowance was below one query: a replaced fleet got nothing until it was
 // warm.
 TEST_F(Module, AColdEnginesAllowanceIsUsedByAllGatewaysTogetherAndNotPassed) {
