--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -190,7 +190,7 @@
     h.seq = ++seq_;
     h.cost = expected_cost(q);
     h.density = c.value / std::max(h.cost, 1.0) * 1e6;
-    const double w = mean_work_ > 0 ? kMeanWeight : 1;
+    const double w = std::max(kMeanWeight, 1.0 / static_cast<double>(seq_));
     mean_value_ += w * (c.value - mean_value_);
     mean_work_ += w * (h.cost - mean_work_);
     for (Learned& l : learned_) l.work += w * ((&l == &learned(h) ? h.cost : 0.0) - l.work);
