--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -37,7 +37,7 @@
 constexpr double kMeanWeight = 0.01;         // weight of one query in the mean worth and work
 constexpr double kSlowMost = 10.0;           // one answer counts as at most this slow: loads stall readers
 constexpr double kGrantSpill = 0.10;         // share of queries that may need more memory than granted
-constexpr double kGrantFloor = 0.2;          // or of the engine, if more: with many gateways parts are tiny
+constexpr double kGrantMost = 0.2;           // of an engine's memory that one query gets
 constexpr double kGrantStart = 1.25;         // x the estimate, before anything is learned
 constexpr double kGrantStep = 0.1;           // how fast that multiple moves (log scale, per answer)
 constexpr double kColdShare = 0.5;           // part of the cold allowance used: estimates and speeds vary
@@ -149,8 +149,7 @@
   void on_engines(TimeUs now, ListKind kind, const std::vector<EngineEntry>& entries,
                   ActionSink& sink) override {
     start(now, sink);
-    if (kind == ListKind::kError && s_.must_ask_discovery)
-      ask_again_ = now + 1'000 * kMs;  // seen by the tick
+    if (kind == ListKind::kError && s_.must_ask_discovery) ask_again_ = now + 1'000 * kMs;
     if (kind == ListKind::kError) return;
     if (kind != ListKind::kDelta)
       for (auto& [id, e] : engines_) e.listed = false;
@@ -321,7 +320,7 @@
 
   double grant_for(const Held& h, const Engine& e) {
     if (!s_.grants || h.q.memory_mb <= 0) return 0;
-    const double most = std::min(s_.max_grant_share, kGrantFloor);
+    const double most = std::min(s_.max_grant_share, kGrantMost);
     return e.memory_mb > 0 ? std::min(wanted_mb(h), e.memory_mb * most) : wanted_mb(h);
   }
 
@@ -534,8 +533,7 @@
 
   double ideal(const Held& h) const { return h.cost / cls(h).threads; }
 
-  // A held query is worth starting until its aim can't be met; one that can't be refused, until its time
-  // ends.
+  // A held query is worth starting until its aim can't be met, or its time ends if it can't be refused.
   TimeUs give_up_at(const Held& h) const {
     const TimeUs last = h.deadline - kAnswerMargin;
     if (!may_refuse(h)) return last;
@@ -549,8 +547,11 @@
       if (give_up_at(queries_.at(id)) <= now) due.push_back(id);
     for (const QueryId id : due) {
       Held& h = queries_.at(id);
-      if (h.in_flight() == 0) answer(now, h, sink);
-      if (h.waiting) unhold(h);  // else only the second copy is given up
+      if (h.in_flight() > 0) {  // only the second copy is given up
+        unhold(h);
+        continue;
+      }
+      answer(now, h, sink);
       forget_if_over(now, id);
     }
   }
@@ -778,10 +779,9 @@
     }
   }
 
-  // Guards against engines that answer nothing (each reset reopened them) and against answers lost on the
-  // way: a query is overdue when its notes stay away or, without notes, after several times what its class
-  // takes now. It goes elsewhere; its engine is silent if nothing came back since. Late with notes: the
-  // engine is slow.
+  // Guards against engines that answer nothing (each reset reopened them) and answers lost on the way: a
+  // query whose notes stay away or, without notes, that takes several times what its class does goes
+  // elsewhere; its engine is silent if nothing came back since. Late while notes come: the engine is slow.
   void watch_silence(TimeUs now, ActionSink& sink) {
     for (auto& [id, e] : engines_) {
       for (const auto& [query, n] : e.out) {
