SIGHUP reloads, one connection an attempt, spoilt reads asked for again, silent clients bounded

Causes, by the lines: - signals.cpp did not take SIGHUP. Now the configuration is read anew as a whole; the change log is followed at its new address with the numbers it has; a wrong file is named in one line and the old configuration stays. - front_door.cpp stopped accepting once a third of the descriptors was taken, and client_connection.cpp let a silent newcomer stay 15 s, half a frame 5 s after each byte. Now a first frame has 2 s from the connection's start, any other 2 s from its first byte, idle ones 5 s; a newcomer gets the place of one that never spoke, else of the one idle for longest; eight unusable requests end a connection; unfinished frames share a bound. - reducer.cpp ended an attempt at an unreadable answer, though its engine gives it again. Now it is asked for again on another connection, eight times in a row at most and as long as the engine can have the query. - engine_client.cpp used connections again for other queries: a second copy could be taken for another's answer. Now only the calls of one attempt share one. Rows are checked; bytes behind rows have the answer asked for again. - Requests no engine can use (tenant, key, ranges, a reference in use) went on to engines and counted as their errors. - event_queue: a departure went in before its own client's requests, which then ran for nobody. - A stop closed the listener over who waited in its line, and waited for half-said frames.

--- a/src/config/controller_config.cpp
+++ b/src/config/controller_config.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #include "config/address.h"
 #include "config/json_fields.h"
@@ -18,7 +19,6 @@
 constexpr std::int64_t kSocketsUnlessTold = 1024;
 constexpr std::int64_t kSocketsLeast = 32;
 constexpr TimeUs kConnectTimeoutUnlessTold = 250'000;
-constexpr TimeUs kIdleUnlessTold = 15'000'000;
 
 core::Address address_in(const Value& object, const char* key) {
   const auto address = parse_address(text_in(object, key, ""));
@@ -65,7 +65,6 @@
   config.settings = read_settings(*settings);
   const Value& policy = object_in(*settings, "policyLimits");
   config.connect_timeout = integer_in(policy, "connectTimeout", kConnectTimeoutUnlessTold);
-  config.idle_close = integer_in(policy, "connIdle", kIdleUnlessTold);
   return config;
 }
 
@@ -81,4 +80,9 @@
   return config;
 }
 
+Reloadable load_reloadable() {
+  ControllerConfig config = load_controller_config();
+  return {std::move(config.change_log), std::move(config.known)};
+}
+
 }  // namespace orchidgw::config
--- a/src/config/controller_config.h
+++ b/src/config/controller_config.h
@@ -20,11 +20,20 @@
   FleetChanges known;
   Settings settings;
   TimeUs connect_timeout = 0;
-  TimeUs idle_close = 0;  // idle connections are closed after this
 };
 
 // Throws FieldError naming the field.
 ControllerConfig parse_controller_config(const std::string& text);
 ControllerConfig load_controller_config();  // from the environment
 
+// What a reload may change; all else stays as it was at the start.
+struct Reloadable {
+  core::Address change_log;
+  FleetChanges known;
+};
+
+// Reads the whole configuration and throws as it does: a file that is wrong anywhere is not taken over in
+// part.
+Reloadable load_reloadable();
+
 }  // namespace orchidgw::config
--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -36,8 +36,14 @@
       return "dropped";
     case ConnectionEnd::kIdleExpired:
       return "idle_expired";
-    case ConnectionEnd::kEngineGone:
-      return "engine_gone";
+    case ConnectionEnd::kAttemptOver:
+      return "attempt_over";
+    case ConnectionEnd::kTooMuch:
+      return "too_much";
+    case ConnectionEnd::kMadeRoom:
+      return "made_room";
+    case ConnectionEnd::kMoved:
+      return "moved";
     case ConnectionEnd::kShutDown:
       return "shut_down";
   }
@@ -77,7 +83,7 @@
     case ConnectionEnd::kClosedUnsent:
     case ConnectionEnd::kDroppedUnsent:
     case ConnectionEnd::kIdleExpired:
-    case ConnectionEnd::kEngineGone:
+    case ConnectionEnd::kAttemptOver:
       return false;
     case ConnectionEnd::kResetUnanswered:
     case ConnectionEnd::kResetMidAnswer:
@@ -86,6 +92,9 @@
     case ConnectionEnd::kSilent:
     case ConnectionEnd::kUnreadable:
     case ConnectionEnd::kDropped:
+    case ConnectionEnd::kTooMuch:
+    case ConnectionEnd::kMadeRoom:
+    case ConnectionEnd::kMoved:
     case ConnectionEnd::kShutDown:
       return true;
   }
@@ -103,12 +112,15 @@
     case ConnectionEnd::kClosedIdle:
     case ConnectionEnd::kClosedUnsent:
     case ConnectionEnd::kIdleExpired:
-    case ConnectionEnd::kEngineGone:
+    case ConnectionEnd::kAttemptOver:
       return may_have_run ? OutcomeKind::kReset : OutcomeKind::kConnectFailed;
     case ConnectionEnd::kResetUnanswered:
     case ConnectionEnd::kResetMidAnswer:
     case ConnectionEnd::kClosedUnanswered:
     case ConnectionEnd::kClosedMidAnswer:
+    case ConnectionEnd::kTooMuch:
+    case ConnectionEnd::kMadeRoom:
+    case ConnectionEnd::kMoved:
     case ConnectionEnd::kShutDown:
       return OutcomeKind::kReset;
     case ConnectionEnd::kSilent:
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -24,7 +24,10 @@
   kDroppedUnsent,     // given up by us before the whole call was written
   kDropped,           // given up by us after that
   kIdleExpired,       // idle for long: closed by us
-  kEngineGone,        // idle when its engine left the list: closed by us
+  kAttemptOver,       // idle when the last call of its attempt had been answered: closed by us
+  kTooMuch,           // the other side asked for more, or held more, than its bounds: closed by us
+  kMadeRoom,          // idle or silent while others wait for its place: closed by us
+  kMoved,             // the other side is at another address now: closed by us
   kShutDown,          // this process ends
 };
 inline constexpr std::size_t kConnectionEnds = static_cast<std::size_t>(ConnectionEnd::kShutDown) + 1;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -13,6 +13,7 @@
 // Call the engine. Every such call is followed by exactly one CallAnswered or CallEnded.
 struct StartCall {
   CallId call = 0;
+  AttemptId attempt = 0;  // whose calls alone share a connection
   CallKind kind = CallKind::kNews;
   EngineId engine;
   Address address;
@@ -48,6 +49,7 @@
   ClientId client = 0;
   RequestTag tag = 0;
   std::string why;
+  bool unusable = false;  // the request was never taken: the client's own fault
 };
 
 // The request can't be taken: it breaks the rules of the connection.
@@ -57,9 +59,9 @@
   std::string why;
 };
 
-// The engine left the list or moved: idle connections to it are closed.
-struct ForgetEngine {
-  EngineId engine;
+// No further call of the attempt goes over the connection that it has.
+struct CloseConnection {
+  AttemptId attempt = 0;
 };
 
 struct LogText {
@@ -68,6 +70,6 @@
 };
 
 using SideEffect = std::variant<StartCall, DropCall, AnswerServed, AnswerRefused, AnswerFailed,
-                                AnswerRejected, ForgetEngine, LogText>;
+                                AnswerRejected, CloseConnection, LogText>;
 
 }  // namespace orchidgw::core
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -17,6 +17,7 @@
 using ClientId = std::uint64_t;   // one client connection
 using RequestTag = std::int32_t;  // the client's own number of a request on its connection
 using CallId = std::uint64_t;     // one call to an engine
+using AttemptId = std::uint64_t;  // one attempt of a query at an engine: all its calls
 
 // What a client asks for; the adapter has checked its form.
 struct ClientRequest {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -35,7 +35,6 @@
 
 void Reducer::on(EnginesChanged& event) {
   ++counters_.list_changes;
-  std::map<EngineId, EngineListing> before = engines_;
   if (event.kind != ListKind::kDelta) engines_.clear();
   std::vector<EngineEntry> entries;
   for (const EngineListing& listing : event.engines) {
@@ -46,13 +45,6 @@
       engines_[listing.entry.id] = listing;
     }
   }
-  // An address may return with another engine, and a process that started anew has none of our connections.
-  for (const auto& [id, old] : before) {
-    const auto it = engines_.find(id);
-    const bool same = it != engines_.end() && it->second.address == old.address &&
-                      it->second.entry.started_at == old.entry.started_at;
-    if (!same) emit(ForgetEngine{id});
-  }
   list_known_ = true;
   module_->on_engines(now_, event.kind, entries, *this);
 }
@@ -68,23 +60,50 @@
   if (open_requests_of(event.client) >= bounds_.open_per_client) return reject("too many open requests");
   const auto unusable = [&](const std::string& why) {
     ++counters_.rejected;
-    emit(AnswerFailed{event.client, event.tag, why});
+    emit(AnswerFailed{event.client, event.tag, why, true});
   };
   if (!event.request) return unusable(event.why);
-  const auto known = classes_.find(event.request->class_name);
-  if (known == classes_.end()) return unusable("unknown class");
+  if (const std::string fault = fault_of(*event.request); !fault.empty()) return unusable(fault);
   if (!list_known_) return unusable("not ready");
-  take(event, known->second);
+  take(event, classes_.at(event.request->class_name));
+}
+
+// Guards against requests that engines can't use: they answer an error, which says nothing of the engine; and
+// against two queries under one reference, of which giving up one would end the other.
+std::string Reducer::fault_of(const ClientRequest& request) const {
+  const auto known = classes_.find(request.class_name);
+  if (known == classes_.end()) return "unknown class";
+  const ClassSettings& c = settings_.classes[static_cast<std::size_t>(known->second)];
+  const auto same_name = [&](const TenantSettings& t) { return t.name == request.tenant; };
+  if (!settings_.tenants.empty() &&
+      std::none_of(settings_.tenants.begin(), settings_.tenants.end(), same_name))
+    return "unknown tenant";
+  if (c.effect == Effect::kDeduplicated && request.idempotency_key.empty()) return "the class needs a key";
+  if (request.statement.empty()) return "no statement";
+  if (request.time_budget > 2 * c.deadline) return "the time is out of range";
+  double cores = 1;
+  double memory_mb = 0;
+  for (const KindSettings& kind : settings_.kinds) {
+    cores = std::max<double>(cores, kind.cores);
+    memory_mb = std::max(memory_mb, kind.memory_mb);
+  }
+  // More than the largest engine does by itself in the whole time, or has.
+  if (static_cast<double>(request.cost_estimate) > cores * static_cast<double>(c.deadline))
+    return "the work is out of range";
+  if (memory_mb > 0 && request.memory_mb > memory_mb) return "the memory is out of range";
+  if (references_.count(request.reference) > 0) return "the reference is in use";
+  return "";
 }
 
-void Reducer::take(const RequestArrived& event, int class_index) {
+void Reducer::take(RequestArrived& event, int class_index) {
   const QueryId id = new_query_id();
   QueryState& query = queries_[id];
   query.client = event.client;
   query.tag = event.tag;
-  query.request = *event.request;
+  query.request = std::move(*event.request);
   query.deadline = now_ + query.request.time_budget;
   held_bytes_ += query.request.statement.size();
+  references_.insert(query.request.reference);
   open_[{event.client, event.tag}] = id;
   ++counters_.taken;
   Query q;
@@ -134,6 +153,7 @@
   AttemptState& a = attempt_at(id, n);
   StartCall start;
   start.call = ++last_call_;
+  start.attempt = a.serial;
   start.kind = kind;
   start.engine = a.engine;
   start.address = a.address;
@@ -192,13 +212,14 @@
 void Reducer::answered(QueryId id, std::size_t n, CallAnswer& answer) {
   AttemptState& a = attempt_at(id, n);
   if (a.phase == Phase::kOver) return;
-  a.asked_again = false;
+  a.heard_at = now_;
   if (a.call_kind == CallKind::kGiveUp) {  // whatever it said, the call came whole
     return conclude(id, n, a.given_up_as);
   }
   if (a.call_kind == CallKind::kPage) return page_came(id, n, answer);
   switch (answer.kind) {
     case CallAnswer::Kind::kNotYet:
+      a.broken = 0;
       if (a.phase == Phase::kGivingUp) return call(id, n, CallKind::kGiveUp);
       return call(id, n, CallKind::kNews);
     case CallAnswer::Kind::kServed:
@@ -219,6 +240,7 @@
   a.told_memory_mb = answer.told_memory_mb;
   a.pages = answer.pages;
   a.phase = Phase::kPaging;
+  a.broken = 0;
   a.rows.push_back(std::move(answer.rows));
   next_page(id, n);
 }
@@ -227,9 +249,12 @@
   AttemptState& a = attempt_at(id, n);
   const bool wanted =
       answer.kind == CallAnswer::Kind::kPage && answer.page == static_cast<int>(a.rows.size());
-  if (!wanted) {  // guards against truncated answers: a page that fails fails the attempt
-    return conclude(id, n, OutcomeKind::kError);
+  if (answer.kind != CallAnswer::Kind::kPage) return conclude(id, n, OutcomeKind::kError);
+  if (!wanted) {  // guards against a second copy that is taken for the answer to the next call
+    emit(CloseConnection{a.serial});
+    return ask_again(id, n, CallKind::kPage);
   }
+  a.broken = 0;
   a.rows.push_back(std::move(answer.rows));
   next_page(id, n);
 }
@@ -246,20 +271,27 @@
   conclude(id, n, OutcomeKind::kOk);
 }
 
-// A call ended without an answer. A query belongs to no connection: it is asked for once more on another.
+// A call ended without an answer that can be used. A query belongs to no connection, and after a good end its
+// engine gives the answer and its pages again: they are asked for on another connection, as long as the
+// engine can still have the query and few calls in a row broke. Guards against spoilt, cut and lost answers,
+// whose query ran.
 void Reducer::broke(QueryId id, std::size_t n, ConnectionEnd end) {
   AttemptState& a = attempt_at(id, n);
   const OutcomeKind outcome = outcome_of(end, a.started);
   if (!a.started || end == ConnectionEnd::kRefused) {  // it never ran, or nothing runs there any more
     return conclude(id, n, outcome);
   }
-  if (end == ConnectionEnd::kUnreadable) return give_up(id, n, outcome);
-  if (!a.asked_again) {
-    a.asked_again = true;
-    ++counters_.asked_again;
-    return call(id, n, a.phase == Phase::kPaging ? CallKind::kPage : CallKind::kNews);
-  }
-  give_up(id, n, outcome);
+  const bool may_be_there = a.phase == Phase::kPaging || now_ - a.heard_at < bounds_.forgotten;
+  if (!may_be_there || a.broken >= bounds_.broken_most) return give_up(id, n, outcome);
+  ask_again(id, n, a.phase == Phase::kPaging ? CallKind::kPage : CallKind::kNews);
+}
+
+void Reducer::ask_again(QueryId id, std::size_t n, CallKind kind) {
+  AttemptState& a = attempt_at(id, n);
+  if (a.broken >= bounds_.broken_most) return give_up(id, n, OutcomeKind::kError);
+  ++a.broken;
+  ++counters_.asked_again;
+  call(id, n, kind);
 }
 
 // Guards against two attempts at once: an attempt that is given up is out until its engine has heard of it
@@ -274,7 +306,7 @@
     return conclude(id, n, as);
   }
   a.phase = Phase::kGivingUp;
-  a.asked_again = false;
+  a.broken = 0;
   if (now_ >= queries_.at(id).deadline) finish(id, n, as);
   set_timer_for(TimerKind::kForgotten, now_ + bounds_.forgotten + bounds_.news_hold, id, n);
   if (a.call == 0) call(id, n, CallKind::kGiveUp);
@@ -287,14 +319,14 @@
   conclude(id, n, a.given_up_as);
 }
 
+// An answer that began, readable or not, says that the call came whole.
 void Reducer::give_up_broke(QueryId id, std::size_t n, ConnectionEnd end) {
   AttemptState& a = attempt_at(id, n);
-  if (end == ConnectionEnd::kRefused) {
-    return conclude(id, n, a.given_up_as);
-  }
-  if (a.asked_again) return;  // the engine will have dropped it when the timer fires
-  a.asked_again = true;
-  call(id, n, CallKind::kGiveUp);
+  const bool heard = end == ConnectionEnd::kUnreadable || end == ConnectionEnd::kClosedMidAnswer ||
+                     end == ConnectionEnd::kResetMidAnswer;
+  if (heard || end == ConnectionEnd::kRefused) return conclude(id, n, a.given_up_as);
+  if (a.broken >= bounds_.broken_most) return;  // the engine will have dropped it when the timer fires
+  ask_again(id, n, CallKind::kGiveUp);
 }
 
 void Reducer::stop_due(QueryId id, std::size_t n) {
@@ -316,7 +348,9 @@
 
 // Nothing of it is at its engine any more.
 void Reducer::conclude(QueryId id, std::size_t n, OutcomeKind kind) {
-  attempt_at(id, n).phase = Phase::kOver;
+  AttemptState& a = attempt_at(id, n);
+  a.phase = Phase::kOver;
+  if (a.serial > 0) emit(CloseConnection{a.serial});
   touched_.push_back(id);
   finish(id, n, kind);
 }
@@ -373,6 +407,7 @@
                                   [](const AttemptState& a) { return a.phase == Phase::kOver && a.told; });
     if (!over) continue;
     held_bytes_ -= it->second.request.statement.size();
+    references_.erase(it->second.request.reference);
     queries_.erase(it);
   }
   touched_.clear();
@@ -418,6 +453,8 @@
     return conclude(id, n, moot ? OutcomeKind::kMoot : OutcomeKind::kConnectFailed);
   }
   ++counters_.sent;
+  a.serial = ++last_attempt_;
+  a.heard_at = now_;
   a.address = it->second.address;
   set_timer_for(TimerKind::kStop, a.stop_at, id, n);
   if (trace_) trace_sent(id, n, *query);
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/effects.h"
@@ -23,7 +24,8 @@
 struct ProtocolBounds {
   TimeUs news_hold = 250'000;     // an engine holds a question for news at most this long
   TimeUs forgotten = 2'000'000;   // an engine drops a query that is not asked for so long
-  TimeUs answer_grace = 750'000;  // a call is silent when nothing came so long past its hold
+  TimeUs answer_grace = 250'000;  // a call is silent when nothing came so long past its hold
+  int broken_most = 8;            // calls in a row that may break before an attempt is given up
   std::size_t result_bytes = 48'000;
   std::size_t open_per_client = 32;
 };
@@ -59,10 +61,12 @@
     Phase phase = Phase::kRunning;
     CallId call = 0;  // the one that is out; 0: none
     CallKind call_kind = CallKind::kStart;
-    bool started = false;      // the engine may have the query
-    bool told = false;         // the module knows its end
-    bool asked_again = false;  // the last call broke; its question is out once more
-    int pages = 0;             // of the result, once it is known
+    bool started = false;  // the engine may have the query
+    bool told = false;     // the module knows its end
+    AttemptId serial = 0;  // as the adapters know it; 0: it was never sent
+    TimeUs heard_at = 0;   // its last whole answer, or its start
+    int broken = 0;        // calls in a row that broke
+    int pages = 0;         // of the result, once it is known
     std::vector<PayloadPtr> rows;
     std::optional<TimeUs> told_cost;
     std::optional<double> told_memory_mb;
@@ -113,7 +117,9 @@
   void on(CallEnded& event);
   void on(TimePassed& event);
 
-  void take(const RequestArrived& event, int class_index);
+  // What is wrong with a request that was read; empty: nothing.
+  std::string fault_of(const ClientRequest& request) const;
+  void take(RequestArrived& event, int class_index);
   void leave(const OpenKey& key);
 
   // The course of an attempt.
@@ -122,6 +128,7 @@
   void page_came(QueryId id, std::size_t n, CallAnswer& answer);
   void next_page(QueryId id, std::size_t n);
   void broke(QueryId id, std::size_t n, ConnectionEnd end);
+  void ask_again(QueryId id, std::size_t n, CallKind kind);
   void give_up(QueryId id, std::size_t n, OutcomeKind as);
   void stopped_asking(QueryId id, std::size_t n, ConnectionEnd end);
   void give_up_broke(QueryId id, std::size_t n, ConnectionEnd end);
@@ -178,7 +185,10 @@
   TimerQueue<Timer> timers_;
   std::deque<PendingOutcome> pending_;
   std::vector<QueryId> touched_;  // looked at once the event is done: what is over is forgotten
+  // References of all queries that an engine may have, lest two share one there.
+  std::unordered_set<std::string> references_;
   std::size_t held_bytes_ = 0;
+  AttemptId last_attempt_ = 0;
   QueryId last_query_ = 0;
   CallId last_call_ = 0;
 };
--- a/src/http/engine_calls.cpp
+++ b/src/http/engine_calls.cpp
@@ -72,12 +72,6 @@
   return mark != nullptr && *mark == "1";
 }
 
-// A page holds whole rows: guards against rows cut in two.
-bool is_page(const core::PayloadPtr& rows, char last) {
-  const std::size_t size = rows ? rows->size() : 0;
-  return size == 0 || (size <= kPageBytesMost && last == '\n');
-}
-
 std::optional<CallAnswer> read_page(const ResponseHead& head, core::PayloadPtr rows) {
   const auto number = whole_number(head, "x-page");
   if (!number) return std::nullopt;
@@ -127,9 +121,9 @@
 }
 
 std::optional<CallAnswer> read_answer(CallKind kind, const ResponseHead& head, core::PayloadPtr rows,
-                                      char last) {
+                                      bool whole_rows) {
   if (kind == CallKind::kPriority || kind == CallKind::kGiveUp) return plain(CallAnswer::Kind::kDone);
-  if (head.status == 200 && !is_page(rows, last)) return std::nullopt;
+  if (head.status == 200 && !whole_rows) return std::nullopt;
   if (head.status == 200 && kind == CallKind::kPage) return read_page(head, std::move(rows));
   if (head.status == 200) return read_good_end(head, std::move(rows));
   if (head.status == 202 && kind != CallKind::kPage) return plain(CallAnswer::Kind::kNotYet);
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -61,6 +61,8 @@
   line(out, "bytes.change_log_out", c.change_log_bytes_out);
   line(out, "list.changes", c.list_changes);
   line(out, "list.calls", c.change_log_calls);
+  line(out, "config.reloads", c.reloads);
+  line(out, "config.reloads_failed", c.reloads_failed);
   line(out, "loop.turns", c.turns);
   line(out, "loop.reads_paused", c.reads_paused);
   line(out, "loop.accepts_paused", c.accepts_paused);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -74,6 +74,8 @@
   // The list, the loop.
   std::uint64_t list_changes = 0;
   std::uint64_t change_log_calls = 0;
+  std::uint64_t reloads = 0;  // SIGHUP
+  std::uint64_t reloads_failed = 0;
   std::uint64_t turns = 0;
   std::uint64_t reads_paused = 0;
   std::uint64_t accepts_paused = 0;
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -53,6 +53,15 @@
   end(state_ == State::kConnecting ? ConnectionEnd::kNotUpInTime : ConnectionEnd::kSilent);
 }
 
+// Guards against waiting on the old address: it keeps its connections open for a while and tells nothing
+// more.
+void ChangeLog::move_to(core::Address address, const config::FleetChanges& known) {
+  end(ConnectionEnd::kMoved);
+  address_ = std::move(address);
+  tell(known, false);
+  due_ = unix_now();
+}
+
 void ChangeLog::connect(TimeUs now) {
   const Connecting begun = begin_connect(address_);
   if (begun.fd < 0) return end(begun.end);
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -24,6 +24,9 @@
 
   void check(TimeUs now);  // time limits, the next try
   TimeUs next_due() const { return due_; }
+  // The log has moved: asked there from now on, with the numbering that it has. `known`: what is told with
+  // it.
+  void move_to(core::Address address, const config::FleetChanges& known);
   void close() { end(core::ConnectionEnd::kShutDown); }
 
   void on_readable() override;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -13,22 +13,27 @@
 constexpr std::size_t kFrameBytesMost = 64UL * 1024;  // of a request
 constexpr int kReadsAtOnce = 8;                    // of one buffer each, lest one client hold up the others
 constexpr std::size_t kUnsentMost = 512UL * 1024;  // of answers: then nothing more is read
-constexpr TimeUs kStalledFor = 5'000'000;          // inside a frame or an answer: the client is gone
-constexpr TimeUs kIdleFor = 15'000'000;            // clients close an idle connection after 4 s themselves
+constexpr TimeUs kFrameWithin = 2'000'000;  // from its first byte; the first one from the connection's start
+constexpr TimeUs kUnreadFor = 5'000'000;    // an answer of which nothing moves: the client is gone
+constexpr TimeUs kIdleFor = 5'000'000;      // clients close an idle connection after 4 s themselves
+constexpr int kUnusableMost = 8;            // requests of one connection that break the protocol's rules
 constexpr TimeUs kUsPerMs = 1000;
 
 }  // namespace
 
-ClientConnection::ClientConnection(Context& context, core::ClientId id, int fd, std::function<bool()> ready,
+ClientConnection::ClientConnection(Context& context, core::ClientId id, int fd, FrameBytes& frame_bytes,
+                                   std::function<bool()> ready,
                                    std::function<void(core::ClientId, ConnectionEnd)> closed)
     : context_(context),
       id_(id),
       channel_(context.reactor, fd, *this),
+      frame_bytes_(frame_bytes),
       ready_(std::move(ready)),
       closed_(std::move(closed)),
       frames_(kFrameBytesMost),
       out_(context.pool),
-      moved_at_(unix_now()) {
+      moved_at_(unix_now()),
+      frame_begun_at_(moved_at_) {
   channel_.want_read(true);
 }
 
@@ -44,16 +49,28 @@
     context_.counters.client_bytes_in += moved.bytes;
     moved_at_ = unix_now();
     if (!take_frames({room.data(), moved.bytes})) return close(ConnectionEnd::kUnreadable);
+    if (!channel_.is_open()) return;
+    if (!count_frame_bytes()) return close(ConnectionEnd::kTooMuch);
     if (moved.bytes < room.size()) return;
   }
 }
 
+// Guards against memory filled with halves of frames: whoever passes the common bound is closed.
+bool ClientConnection::count_frame_bytes() {
+  frame_bytes_.held -= frame_counted_;
+  frame_counted_ = frames_.gathered();
+  frame_bytes_.held += frame_counted_;
+  return frame_counted_ == 0 || frame_bytes_.held <= frame_bytes_.most;
+}
+
 bool ClientConnection::take_frames(std::string_view bytes) {
   while (!bytes.empty()) {
+    if (spoke_ && !frames_.inside()) frame_begun_at_ = moved_at_;
     const auto result = frames_.feed(bytes);
     if (result == thrift::FrameReader::Result::kBroken) return false;
     if (result == thrift::FrameReader::Result::kMore) return true;
     const auto call = thrift::read_call(frames_.frame());
+    spoke_ = true;
     if (!call || !take_call(*call)) return false;
     if (!channel_.is_open()) return true;
   }
@@ -74,6 +91,7 @@
   } else {
     const auto error = thrift::ApplicationError::kUnknownMethod;
     send(thrift::application_exception(call.name, call.sequence, error, "unknown method"));
+    count_unusable();
   }
   return true;
 }
@@ -95,11 +113,18 @@
 
 void ClientConnection::answer(const core::AnswerFailed& failed) {
   send(thrift::failed(failed.tag, failed.why));
+  if (failed.unusable) count_unusable();
 }
 
 void ClientConnection::answer(const core::AnswerRejected& rejected) {
   const auto error = thrift::ApplicationError::kBadSequence;
   send(thrift::application_exception("invoke", rejected.tag, error, rejected.why));
+  count_unusable();
+}
+
+// Guards against clients that send what can't be used again and again, as fast as it is turned away.
+void ClientConnection::count_unusable() {
+  if (++unusable_ >= kUnusableMost && channel_.is_open()) close(ConnectionEnd::kTooMuch);
 }
 
 void ClientConnection::send(std::string_view bytes) {
@@ -141,17 +166,20 @@
   channel_.want_read(true);
 }
 
-// Guards against clients whose machines vanished: nothing tells of them, and each holds a descriptor.
+// Guards against clients that hold a descriptor for nothing: silent newcomers, frames that never end (a byte
+// now and then does not help them), machines that vanished.
 void ClientConnection::sweep(TimeUs now, bool has_open_requests) {
   if (!has_open_requests && idle() && now - moved_at_ > kIdleFor) return close(ConnectionEnd::kIdleExpired);
-  const bool waits = !out_.empty() || (frames_.inside() && !paused_);
-  if (waits && now - moved_at_ > kStalledFor) close(ConnectionEnd::kSilent);
+  const bool awaited = !spoke_ || (frames_.inside() && !paused_);
+  if (awaited && now - frame_begun_at_ > kFrameWithin) return close(ConnectionEnd::kSilent);
+  if (!out_.empty() && now - moved_at_ > kUnreadFor) close(ConnectionEnd::kSilent);
 }
 
 void ClientConnection::close(ConnectionEnd end) {
   if (!channel_.is_open()) return;
   channel_.close();
   out_.clear();
+  frame_bytes_.held -= std::exchange(frame_counted_, 0);
   closed_(id_, end);
 }
 
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kBytesPerMb = 1024L * 1024;
 constexpr std::int64_t kPoolPart = 3;         // of the memory: one part in so many is for buffers
 constexpr std::int64_t kStatementsPart = 8;   // and one in so many for the statements of open queries
+constexpr std::int64_t kFramesPart = 16;      // and one in so many for frames that are not whole
 constexpr std::size_t kClientsPart = 3;       // of the descriptors: clients hold a third at the most
 constexpr std::size_t kDescriptorsKept = 32;  // listener, change log, signals, poll, standard ones
 constexpr TimeUs kWaitMost = 1'000'000;
@@ -32,13 +33,19 @@
   return static_cast<std::size_t>(config.sockets) / kClientsPart + 1;
 }
 
+FrontLimits front_for(const config::ControllerConfig& config) {
+  FrontLimits limits;
+  limits.clients = clients_for(config);
+  limits.frame_bytes = static_cast<std::size_t>(config.memory_mb * kBytesPerMb / kFramesPart);
+  return limits;
+}
+
 EngineClientLimits engines_for(const config::ControllerConfig& config) {
   const auto all = static_cast<std::size_t>(config.sockets);
   const std::size_t taken = clients_for(config) + std::min(kDescriptorsKept, all / 4);
   EngineClientLimits limits;
   limits.connections = std::max<std::size_t>(all - std::min(taken, all - 1), 1);
   limits.connect_timeout = config.connect_timeout;
-  limits.idle_close = config.idle_close;
   return limits;
 }
 
@@ -59,7 +66,7 @@
       reducer_(config.settings, config.seed, counters_),
       engines_(context_, engines_for(config)),
       change_log_(context_, config.change_log, config.known, config.connect_timeout),
-      front_door_(context_, listener, clients_for(config), reducer_),
+      front_door_(context_, listener, front_for(config), reducer_),
       signals_(reactor_, [this](int signal) { on_signal(signal); }) {
   reducer_.set_trace(log.on(log::Level::kDebug));
 }
@@ -148,8 +155,8 @@
           engines_.start(std::move(e));
         } else if constexpr (std::is_same_v<E, core::DropCall>) {
           engines_.drop(e.call);
-        } else if constexpr (std::is_same_v<E, core::ForgetEngine>) {
-          engines_.forget(e.engine);
+        } else if constexpr (std::is_same_v<E, core::CloseConnection>) {
+          engines_.close_connection_of(e.attempt);
         } else if constexpr (std::is_same_v<E, core::LogText>) {
           log_.write(e.level, e.text);
         } else {
@@ -162,6 +169,8 @@
 TimeUs Controller::wait_from(TimeUs now) const {
   if (!events_.empty()) return 0;
   TimeUs due = std::min(now + kWaitMost, change_log_.next_due());
+  if (!front_door_.empty()) due = std::min(due, front_door_.next_sweep());
+  if (stop_asked_at_ > 0 && listening_) due = std::min(due, stop_asked_at_ + kStillComing);
   if (const auto timer = reducer_.next_due()) due = std::min(due, *timer);
   if (const auto call = engines_.next_due()) due = std::min(due, *call);
   return std::max<TimeUs>(due - now, 0);
@@ -169,12 +178,28 @@
 
 void Controller::on_signal(int signal) {
   if (signal == SIGUSR1) return print_counters();
+  if (signal == SIGHUP) return reload();
   if (stop_asked_at_ > 0) return;
   log_.write(log::Level::kInfo, "asked to stop: serving what still comes");
   stop_asked_at_ = unix_now();
   reactor_.hurry();
 }
 
+// Reads the configuration anew. What is wrong with it is said in one line, and the old one stays.
+void Controller::reload() {
+  ++counters_.reloads;
+  try {
+    const config::Reloadable fresh = config::load_reloadable();
+    change_log_.move_to(fresh.change_log, fresh.known);
+    log_.write(log::Level::kInfo, "configuration read anew: the change log is at " + fresh.change_log.host +
+                                      ":" + std::to_string(fresh.change_log.port));
+  } catch (const std::exception& e) {
+    ++counters_.reloads_failed;
+    log_.write(log::Level::kError, std::string("configuration not taken over: ") + e.what());
+  }
+  reactor_.hurry();
+}
+
 // Ends only when nothing is open and nothing can still arrive.
 void Controller::stop_if_done(TimeUs now) {
   if (stop_asked_at_ == 0 || now < stop_asked_at_ + kStillComing) return;
@@ -183,7 +208,7 @@
     front_door_.stop_listening();
     return;
   }
-  if (!events_.empty() || reducer_.queries() > 0 || !front_door_.quiet()) return;
+  if (!events_.empty() || reducer_.queries() > 0 || !front_door_.empty()) return;
   log_.write(log::Level::kInfo, "nothing is open any more: stopping");
   front_door_.close_all();
   engines_.close_all();
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -36,6 +36,7 @@
   void apply(TimeUs now, core::Event event);
   void run_effect(core::SideEffect& effect);
   void on_signal(int signal);
+  void reload();
   void stop_if_done(TimeUs now);
   void count_descriptors();
   void print_counters();
--- a/src/net/engine_client.cpp
+++ b/src/net/engine_client.cpp
@@ -13,7 +13,6 @@
 using core::ConnectionEnd;
 
 constexpr std::size_t kKeptForRunning = 8;  // one part in so many is not for new sends
-constexpr TimeUs kIdleCheckEvery = 250'000;
 
 }  // namespace
 
@@ -45,22 +44,21 @@
 bool EngineClient::place(core::StartCall& call) { return reuse(call) || connect(call); }
 
 bool EngineClient::reuse(core::StartCall& call) {
-  const auto it = idle_.find(call.engine);
+  const auto it = idle_.find(call.attempt);
   if (it == idle_.end()) return false;
-  const ConnectionId id = it->second.back();
-  it->second.pop_back();
-  if (it->second.empty()) idle_.erase(it);
-  EngineConnection& connection = *connections_.at(id);
+  const ConnectionId id = it->second;
+  idle_.erase(it);
+  const std::shared_ptr<EngineConnection> connection = connections_.at(id);
   calls_[call.call] = id;
   ++context_.counters.reused;
-  connection.give(std::move(call));
-  if (connection.call()) watch(connection);
+  connection->give(std::move(call));
+  if (connection->call()) watch(*connection);
   return true;
 }
 
 // True also if the connection failed at once: the call has ended then.
 bool EngineClient::connect(core::StartCall& call) {
-  if (!may_open(line_of(call.kind)) && !close_an_idle_one()) return false;
+  if (!may_open(line_of(call.kind))) return false;
   const Connecting begun = begin_connect(call.address);
   if (begun.fd < 0 && begun.end == ConnectionEnd::kNoDescriptor) return false;
   if (begun.fd < 0) {
@@ -84,13 +82,6 @@
   return connections_.size() + kept < limits_.connections;
 }
 
-bool EngineClient::close_an_idle_one() {
-  if (idle_.empty()) return false;
-  const ConnectionId id = idle_.begin()->second.front();
-  connections_.at(id)->close(ConnectionEnd::kIdleExpired);
-  return true;
-}
-
 void EngineClient::drop(core::CallId call) {
   for (auto& line : waiting_) {
     const auto it =
@@ -104,16 +95,14 @@
   if (it != calls_.end()) connections_.at(it->second)->drop();
 }
 
-void EngineClient::forget(const EngineId& engine) {
-  const auto it = idle_.find(engine);
-  if (it == idle_.end()) return;
-  const std::vector<ConnectionId> ids = it->second;
-  for (const ConnectionId id : ids) connections_.at(id)->close(ConnectionEnd::kEngineGone);
+void EngineClient::close_connection_of(core::AttemptId attempt) {
+  const auto it = idle_.find(attempt);
+  if (it != idle_.end()) connections_.at(it->second)->close(ConnectionEnd::kAttemptOver);
 }
 
 void EngineClient::answered(EngineConnection& connection, core::CallId call, core::CallAnswer answer) {
   calls_.erase(call);
-  if (connection.idle()) idle_[connection.engine()].push_back(connection.id());
+  if (connection.idle()) idle_[connection.attempt()] = connection.id();
   context_.post(core::CallAnswered{call, std::move(answer)});
 }
 
@@ -125,11 +114,8 @@
     context_.closed.push_back(it->second);
     connections_.erase(it);
   }
-  const auto idle = idle_.find(connection.engine());
-  if (idle != idle_.end()) {
-    std::erase(idle->second, connection.id());
-    if (idle->second.empty()) idle_.erase(idle);
-  }
+  const auto idle = idle_.find(connection.attempt());
+  if (idle != idle_.end() && idle->second == connection.id()) idle_.erase(idle);
   if (call) end_call(*call, end);
 }
 
@@ -156,10 +142,6 @@
     connection->check(now);
     if (connection->call()) watch(*connection);
   }
-  if (now - idle_checked_at_ >= kIdleCheckEvery) {
-    idle_checked_at_ = now;
-    expire_idle(now);
-  }
   expire_waiting(now);
   place_waiting();
   count_waiting();
@@ -181,19 +163,6 @@
   }
 }
 
-// Closed well before the engine would: a connection that it closes under a call would cost the call.
-void EngineClient::expire_idle(TimeUs now) {
-  const TimeUs most = limits_.idle_close * 3 / 4;
-  std::vector<std::shared_ptr<EngineConnection>> old;
-  for (const auto& [engine, ids] : idle_) {
-    for (const ConnectionId id : ids) {
-      const auto& connection = connections_.at(id);
-      if (now - connection->idle_since() > most) old.push_back(connection);
-    }
-  }
-  for (const auto& connection : old) connection->close(ConnectionEnd::kIdleExpired);
-}
-
 void EngineClient::count_waiting() {
   std::size_t all = 0;
   for (const auto& line : waiting_) all += line.size();
--- a/src/net/engine_client.h
+++ b/src/net/engine_client.h
@@ -18,7 +18,6 @@
 struct EngineClientLimits {
   std::size_t connections = 1;  // at most
   TimeUs connect_timeout = 0;
-  TimeUs idle_close = 0;  // engines close an idle connection after this
 };
 
 class EngineClient final : public EngineConnectionOwner {
@@ -27,8 +26,8 @@
 
   void start(core::StartCall call);
   void drop(core::CallId call);
-  void forget(const EngineId& engine);  // closes its idle connections
-  void check(TimeUs now);               // time limits, idle connections, calls that wait
+  void close_connection_of(core::AttemptId attempt);  // the idle one that it has
+  void check(TimeUs now);                             // time limits, calls that wait
   std::optional<TimeUs> next_due() const { return due_.next_due(); }
   std::size_t connections() const { return connections_.size(); }
   void close_all();
@@ -47,14 +46,12 @@
   };
 
   static Line line_of(core::CallKind kind);
-  bool place(core::StartCall& call);  // on an idle connection or a new one; false if none can be had
+  bool place(core::StartCall& call);  // on its attempt's connection or a new one; false if none can be had
   bool reuse(core::StartCall& call);
   bool connect(core::StartCall& call);
   bool may_open(Line line) const;
-  bool close_an_idle_one();
   void place_waiting();
   void expire_waiting(TimeUs now);
-  void expire_idle(TimeUs now);
   void watch(EngineConnection& connection);
   void count_waiting();
   void end_call(core::CallId call, core::ConnectionEnd end);
@@ -62,12 +59,13 @@
   Context& context_;
   EngineClientLimits limits_;
   std::map<ConnectionId, std::shared_ptr<EngineConnection>> connections_;
-  std::map<EngineId, std::vector<ConnectionId>> idle_;  // the last used one is used next
+  // Guards against a late second copy of an answer: bytes that come after their answer meet no other query,
+  // as only the calls of one attempt share a connection.
+  std::unordered_map<core::AttemptId, ConnectionId> idle_;
   std::unordered_map<core::CallId, ConnectionId> calls_;
   std::array<std::deque<Waiting>, kLines> waiting_;
   core::TimerQueue<ConnectionId> due_;
   ConnectionId last_id_ = 0;
-  TimeUs idle_checked_at_ = 0;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -20,7 +20,7 @@
     : context_(context),
       owner_(owner),
       id_(id),
-      engine_(call.engine),
+      attempt_(call.attempt),
       channel_(context.reactor, fd, *this),
       call_(std::move(call)),
       begun_at_(unix_now()),
@@ -53,6 +53,7 @@
   state_ = State::kBusy;
   parser_.reset();
   body_.clear();
+  rows_ = {};
   out_.append(http::write_call(*call_, unix_now()));
   flush();
 }
@@ -92,23 +93,28 @@
 // False if what came can't be read.
 bool EngineConnection::read_bytes(std::string_view bytes) {
   using Result = http::ResponseParser::Result;
-  const Result result = read_answer_bytes(parser_, bytes, body_);
+  Result result = parser_.feed(bytes);
+  while (result == Result::kBody) {
+    rows_.feed(parser_.piece());
+    body_.append(parser_.piece());
+    result = parser_.feed(bytes);
+  }
   if (result != Result::kDone) return result == Result::kMore;
   answer_is_whole(bytes.empty());
   return true;
 }
 
 void EngineConnection::answer_is_whole(bool clean) {
-  const char last = body_.empty() ? '\0' : body_.back();
   auto rows = std::make_unique<ChainPayload>(std::move(body_));
   body_ = BufferChain(context_.pool);
-  auto answer = http::read_answer(call_->kind, parser_.head(), std::move(rows), last);
-  if (!answer) return close(ConnectionEnd::kUnreadable);
+  auto answer = http::read_answer(call_->kind, parser_.head(), std::move(rows), rows_.whole());
+  // Bytes behind an answer belong to no call: the connection is not used again. Behind rows they may be rows
+  // that the length left out: these are asked for again.
+  const bool has_rows = parser_.head().status == 200;
+  if (!answer || (has_rows && !clean)) return close(ConnectionEnd::kUnreadable);
   const core::CallId call = call_->call;
   call_.reset();
   state_ = State::kIdle;
-  idle_since_ = unix_now();
-  // Bytes behind an answer belong to no call: the connection is not used again.
   if (!clean) {
     close(ConnectionEnd::kUnreadable);
   } else if (!parser_.head().keep_alive) {
--- a/src/net/engine_connection.h
+++ b/src/net/engine_connection.h
@@ -7,6 +7,7 @@
 #include "core/connection_end.h"
 #include "core/effects.h"
 #include "http/response_parser.h"
+#include "http/row_check.h"
 #include "net/buffer_pool.h"
 #include "net/channel.h"
 #include "net/context.h"
@@ -31,9 +32,8 @@
                    core::StartCall call, TimeUs up_by);
 
   std::uint64_t id() const { return id_; }
-  const EngineId& engine() const { return engine_; }
+  core::AttemptId attempt() const { return attempt_; }
   bool idle() const { return state_ == State::kIdle; }
-  TimeUs idle_since() const { return idle_since_; }
   std::optional<core::CallId> call() const;
 
   void give(core::StartCall call);  // on an idle connection
@@ -60,16 +60,16 @@
   Context& context_;
   EngineConnectionOwner& owner_;
   std::uint64_t id_;
-  EngineId engine_;
+  core::AttemptId attempt_;
   Channel channel_;
   State state_ = State::kConnecting;
   std::optional<core::StartCall> call_;
   TimeUs begun_at_;
   TimeUs up_by_;
-  TimeUs idle_since_ = 0;
   http::ResponseParser parser_;
   BufferChain out_;
   BufferChain body_;
+  http::RowCheck rows_;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/event_queue.cpp
+++ b/src/net/event_queue.cpp
@@ -13,7 +13,21 @@
   return outcomes_;
 }
 
+// Guards against requests that outlive their client: departures go in first, and a request that was read
+// before one and acted on after it would run for nobody.
+void EventQueue::forget_requests(const core::Event& departure) {
+  const auto gone = [&departure](const PostedEvent& posted) {
+    const auto& request = std::get<core::RequestArrived>(posted.event);
+    if (const auto* closed = std::get_if<core::ClientClosed>(&departure))
+      return request.client == closed->client;
+    const auto* aborted = std::get_if<core::RequestAborted>(&departure);
+    return aborted != nullptr && request.client == aborted->client && request.tag == aborted->tag;
+  };
+  std::erase_if(requests_, gone);
+}
+
 void EventQueue::push(core::Event event, TimeUs at) {
+  if (&line_of(event) == &departures_) forget_requests(event);
   Line& line = line_of(event);
   line.push_back({std::move(event), at});
 }
--- a/src/net/event_queue.h
+++ b/src/net/event_queue.h
@@ -25,6 +25,7 @@
 
  private:
   using Line = std::deque<PostedEvent>;
+  void forget_requests(const core::Event& departure);
   Line& line_of(const core::Event& event);
   static std::optional<PostedEvent> first_of(Line& line);
 
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -12,9 +12,14 @@
 
 namespace orchidgw::net {
 
+struct FrontLimits {
+  std::size_t clients = 1;      // at most
+  std::size_t frame_bytes = 0;  // that all unfinished frames may hold together
+};
+
 class FrontDoor final : public ChannelHandler {
  public:
-  FrontDoor(Context& context, int listener, std::size_t most, const core::Reducer& reducer);
+  FrontDoor(Context& context, int listener, FrontLimits limits, const core::Reducer& reducer);
 
   template <typename Answer>
   void answer(Answer& answer) {
@@ -23,8 +28,9 @@
   }
 
   void between_turns(TimeUs now);
-  void stop_listening() { listener_.close(); }
-  bool quiet() const;  // nothing half read, nothing unsent
+  TimeUs next_sweep() const;
+  void stop_listening();  // who waits to be accepted is let in before; who is idle from then on is closed
+  bool empty() const { return clients_.empty(); }
   void close_all();
 
   void on_readable() override;
@@ -34,17 +40,25 @@
 
  private:
   void closed(core::ClientId id, core::ConnectionEnd end);
+  void accept_all();
+  bool make_room();
+  bool has_open_requests(core::ClientId id) const { return reducer_.open_requests_of(id) > 0; }
   void pause_accepting();
+  void go_on_accepting();
   void shed_unread();
+  void sweep(TimeUs now);
+  void close_idle(TimeUs now);
 
   Context& context_;
   Channel listener_;
-  std::size_t most_;
+  FrontLimits limits_;
+  FrameBytes frame_bytes_;
   const core::Reducer& reducer_;  // looked at only: readiness, open requests
   std::map<core::ClientId, std::shared_ptr<ClientConnection>> clients_;
   core::ClientId last_id_ = 0;
   TimeUs swept_at_ = 0;
   bool paused_ = false;
+  bool stopping_ = false;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -18,6 +18,7 @@
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
   sigaddset(&set, SIGUSR1);
+  sigaddset(&set, SIGHUP);  // guards against a reload that ends the program
   sigprocmask(SIG_BLOCK, &set, nullptr);
   const int fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "signalfd");
--- a/src/thrift/frame_reader.h
+++ b/src/thrift/frame_reader.h
@@ -16,7 +16,8 @@
   // Takes bytes off the front of `bytes` until a frame is whole or none are left.
   Result feed(std::string_view& bytes);
 
-  const std::string& frame() const { return body_; }  // after kFrame, until the next feed
+  const std::string& frame() const { return body_; }                  // after kFrame, until the next feed
+  std::size_t gathered() const { return whole_ ? 0 : body_.size(); }  // of a frame that is not whole
   bool inside() const { return head_bytes_ > 0 && !whole_; }
 
  private:
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -34,6 +34,8 @@
   pid_t pid() const { return pid_; }
   std::string config_path() const { return directory_ + "/config.json"; }
   void signal(int number) const;
+  void configure(const ControllerOptions& options) const;  // writes the file anew; SIGHUP has it read
+  void configure(const std::string& text) const;
   int wait_exit();                              // its exit code, or 128 + signal
   bool wait_for_line(const std::string& part);  // on its standard error
   std::string log() const;
