--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -24,7 +24,7 @@
 struct ProtocolBounds {
   TimeUs news_hold = 250'000;     // an engine holds a question for news at most this long
   TimeUs forgotten = 2'000'000;   // an engine drops a query that is not asked for so long
-  TimeUs answer_grace = 250'000;  // a call is silent when nothing came so long past its hold
+  TimeUs answer_grace = 100'000;  // a call is silent when nothing came so long past its hold
   int broken_most = 8;            // calls in a row that may break before an attempt is given up
   std::size_t result_bytes = 48'000;
   std::size_t open_per_client = 32;
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -18,7 +18,9 @@
 void BufferPool::give_back(std::unique_ptr<Block> block) {
   --in_use_;
   counters_.buffers.set(in_use_);
-  if (free_.size() < most_) free_.push_back(std::move(block));
+  free_.push_back(std::move(block));
+  // Guards against a peak that is kept for good.
+  while (free_.size() > in_use_ + kFreeKept) free_.pop_back();
 }
 
 BufferChain::BufferChain(BufferChain&& other) noexcept
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -18,6 +18,8 @@
 
 inline constexpr std::size_t kBufferBytes = 8192;  // a page of 6,000 bytes with its headers fits
 
+inline constexpr std::size_t kFreeKept = 16;  // free buffers kept beyond as many as are in use
+
 using Block = std::array<char, kBufferBytes>;
 
 class BufferPool {
@@ -33,6 +35,7 @@
   // What was begun has taken half as much again: whoever holds most of it has to go.
   bool overdrawn() const { return in_use_ > most_ + most_ / 2; }
   std::size_t in_use() const { return in_use_; }
+  std::size_t kept_free() const { return free_.size(); }
 
  private:
   std::size_t reserve() const { return most_ / 8; }
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -13,7 +13,6 @@
 
 using core::ConnectionEnd;
 
-constexpr std::size_t kBodyMost = 4UL * 1024 * 1024;
 // Short holds: a cut connection is silent, and what the log has to tell counts as told meanwhile.
 constexpr TimeUs kHold = 500'000;
 constexpr TimeUs kGrace = 500'000;    // an answer this long past its hold doesn't come any more
@@ -22,11 +21,11 @@
 }  // namespace
 
 ChangeLog::ChangeLog(Context& context, core::Address address, const config::FleetChanges& known,
-                     TimeUs connect_timeout)
+                     ChangeLogLimits limits)
     : context_(context),
       address_(std::move(address)),
-      connect_timeout_(connect_timeout),
-      parser_(kBodyMost),
+      connect_timeout_(limits.connect_timeout),
+      parser_(limits.answer_bytes),
       out_(context.pool),
       body_(context.pool) {
   tell(known, true);
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -16,11 +16,16 @@
 
 namespace orchidgw::net {
 
+struct ChangeLogLimits {
+  std::size_t answer_bytes = 0;  // of one answer
+  TimeUs connect_timeout = 0;
+};
+
 class ChangeLog final : public ChannelHandler {
  public:
   // `known`: the events of the start, which are told to the core at once.
   ChangeLog(Context& context, core::Address address, const config::FleetChanges& known,
-            TimeUs connect_timeout);
+            ChangeLogLimits limits);
 
   void check(TimeUs now);  // time limits, the next try
   TimeUs next_due() const { return due_; }
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -12,21 +12,19 @@
 namespace {
 
 constexpr std::int64_t kBytesPerMb = 1024L * 1024;
-constexpr std::int64_t kPoolPart = 3;         // of the memory: one part in so many is for buffers
-constexpr std::int64_t kStatementsPart = 8;   // and one in so many for the statements of open queries
-constexpr std::int64_t kFramesPart = 16;      // and one in so many for frames that are not whole
+// Of the memory, one part in so many is for (docs/architecture.md adds them up):
+constexpr std::int64_t kPoolPart = 4;         // buffers; what was begun may take half as much again
+constexpr std::int64_t kStatementsPart = 16;  // statements of open queries, and as much for their copies in calls
+constexpr std::int64_t kFramesPart = 16;      // frames that are not whole
+constexpr std::int64_t kChangesPart = 64;     // one answer of the change log; reading it takes ten times that
 constexpr std::size_t kClientsPart = 3;       // of the descriptors: clients hold a third at the most
 constexpr std::size_t kDescriptorsKept = 32;  // listener, change log, signals, poll, standard ones
 constexpr TimeUs kWaitMost = 1'000'000;
 // After SIGTERM connections and requests keep coming for 0.6 s; what comes after 0.7 s is not ours any more.
 constexpr TimeUs kStillComing = 700'000;
 
-std::size_t buffers_for(const config::ControllerConfig& config) {
-  return static_cast<std::size_t>(config.memory_mb * kBytesPerMb / kPoolPart) / kBufferBytes;
-}
-
-std::size_t statements_for(const config::ControllerConfig& config) {
-  return static_cast<std::size_t>(config.memory_mb * kBytesPerMb / kStatementsPart);
+std::size_t bytes_for(const config::ControllerConfig& config, std::int64_t part) {
+  return static_cast<std::size_t>(config.memory_mb * kBytesPerMb / part);
 }
 
 std::size_t clients_for(const config::ControllerConfig& config) {
@@ -36,7 +34,7 @@
 FrontLimits front_for(const config::ControllerConfig& config) {
   FrontLimits limits;
   limits.clients = clients_for(config);
-  limits.frame_bytes = static_cast<std::size_t>(config.memory_mb * kBytesPerMb / kFramesPart);
+  limits.frame_bytes = bytes_for(config, kFramesPart);
   return limits;
 }
 
@@ -53,8 +51,8 @@
 
 Controller::Controller(const config::ControllerConfig& config, int listener, log::Logger& log)
     : log_(log),
-      pool_(buffers_for(config), counters_),
-      statement_bytes_most_(statements_for(config)),
+      pool_(bytes_for(config, kPoolPart) / kBufferBytes, counters_),
+      statement_bytes_most_(bytes_for(config, kStatementsPart)),
       reactor_([this] { return turn(); }),
       context_{reactor_,
                pool_,
@@ -65,14 +63,18 @@
                {}},
       reducer_(config.settings, config.seed, counters_),
       engines_(context_, engines_for(config)),
-      change_log_(context_, config.change_log, config.known, config.connect_timeout),
+      change_log_(context_, config.change_log, config.known,
+                  {bytes_for(config, kChangesPart), config.connect_timeout}),
       front_door_(context_, listener, front_for(config), reducer_),
       signals_(reactor_, [this](int signal) { on_signal(signal); }) {
   reducer_.set_trace(log.on(log::Level::kDebug));
 }
 
-// Guards against running out of memory: who is not read keeps what he has to say.
-bool Controller::crowded() const { return pool_.low() || reducer_.held_bytes() >= statement_bytes_most_; }
+// Guards against running out of memory: who is not read keeps what he has to say. What was read in this turn counts
+// too, lest all clients together pass the bound in one.
+bool Controller::crowded() const {
+  return pool_.low() || reducer_.held_bytes() + events_.statement_bytes() >= statement_bytes_most_;
+}
 
 void Controller::run() {
   act(unix_now());
--- a/src/net/engine_client.h
+++ b/src/net/engine_client.h
@@ -33,6 +33,7 @@
   void close_all();
 
   void answered(EngineConnection& connection, core::CallId call, core::CallAnswer answer) override;
+  void begun(EngineConnection& connection) override { watch(connection); }
   void ended(EngineConnection& connection, core::ConnectionEnd end,
              std::optional<core::CallId> call) override;
 
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -13,6 +13,8 @@
 
 using core::ConnectionEnd;
 
+constexpr TimeUs kStalledFor = 100'000;  // inside an answer, which is written in one go
+
 }  // namespace
 
 EngineConnection::EngineConnection(Context& context, EngineConnectionOwner& owner, std::uint64_t id, int fd,
@@ -87,7 +89,9 @@
   context_.counters.engine_bytes_in += moved.bytes;
   // Bytes with no call on it, or before the call is whole, answer nothing of ours.
   if (state_ == State::kIdle || !out_.empty()) return close(ConnectionEnd::kUnreadable);
-  if (!read_bytes({room.data(), moved.bytes})) close(ConnectionEnd::kUnreadable);
+  read_at_ = unix_now();
+  if (!read_bytes({room.data(), moved.bytes})) return close(ConnectionEnd::kUnreadable);
+  if (state_ == State::kBusy) owner_.begun(*this);
 }
 
 // False if what came can't be read.
@@ -133,7 +137,10 @@
 
 TimeUs EngineConnection::due() const {
   if (state_ == State::kConnecting) return std::min(up_by_, call_->answer_by);
-  if (state_ == State::kBusy) return call_->answer_by;
+  if (state_ == State::kBusy && !parser_.begun()) return call_->answer_by;
+  // Guards against answers that stop short on a connection that stays open: waiting the call's whole time for the
+  // rest costs a short query its aim.
+  if (state_ == State::kBusy) return std::min(call_->answer_by, read_at_ + kStalledFor);
   return std::numeric_limits<TimeUs>::max();
 }
 
--- a/src/net/engine_connection.h
+++ b/src/net/engine_connection.h
@@ -21,6 +21,8 @@
  public:
   virtual ~EngineConnectionOwner() = default;
   virtual void answered(EngineConnection& connection, core::CallId call, core::CallAnswer answer) = 0;
+  // An answer has begun and goes on: what it waits for is due sooner now.
+  virtual void begun(EngineConnection& connection) = 0;
   // With the call that was on it, if one was. The connection is closed.
   virtual void ended(EngineConnection& connection, core::ConnectionEnd end,
                      std::optional<core::CallId> call) = 0;
@@ -66,6 +68,7 @@
   std::optional<core::StartCall> call_;
   TimeUs begun_at_;
   TimeUs up_by_;
+  TimeUs read_at_ = 0;  // the last bytes of an answer
   http::ResponseParser parser_;
   BufferChain out_;
   BufferChain body_;
--- a/src/net/event_queue.cpp
+++ b/src/net/event_queue.cpp
@@ -5,6 +5,15 @@
 
 namespace orchidgw::net {
 
+namespace {
+
+std::size_t statement_bytes_of(const PostedEvent& posted) {
+  const auto& request = std::get<core::RequestArrived>(posted.event).request;
+  return request ? request->statement.size() : 0;
+}
+
+}  // namespace
+
 EventQueue::Line& EventQueue::line_of(const core::Event& event) {
   if (std::holds_alternative<core::EnginesChanged>(event)) return list_changes_;
   if (std::holds_alternative<core::RequestArrived>(event)) return requests_;
@@ -24,12 +33,15 @@
     return aborted != nullptr && request.client == aborted->client && request.tag == aborted->tag;
   };
   std::erase_if(requests_, gone);
+  statement_bytes_ = 0;
+  for (const PostedEvent& request : requests_) statement_bytes_ += statement_bytes_of(request);
 }
 
 void EventQueue::push(core::Event event, TimeUs at) {
   if (&line_of(event) == &departures_) forget_requests(event);
   Line& line = line_of(event);
   line.push_back({std::move(event), at});
+  if (&line == &requests_) statement_bytes_ += statement_bytes_of(line.back());
 }
 
 std::optional<PostedEvent> EventQueue::first_of(Line& line) {
@@ -45,7 +57,11 @@
   return first_of(departures_);
 }
 
-std::optional<PostedEvent> EventQueue::next_request() { return first_of(requests_); }
+std::optional<PostedEvent> EventQueue::next_request() {
+  auto first = first_of(requests_);
+  if (first) statement_bytes_ -= statement_bytes_of(*first);
+  return first;
+}
 
 bool EventQueue::empty() const {
   return list_changes_.empty() && outcomes_.empty() && departures_.empty() && requests_.empty();
--- a/src/net/event_queue.h
+++ b/src/net/event_queue.h
@@ -22,6 +22,7 @@
   std::optional<PostedEvent> next_news();  // all but requests
   std::optional<PostedEvent> next_request();
   bool empty() const;
+  std::size_t statement_bytes() const { return statement_bytes_; }  // of the requests in line
 
  private:
   using Line = std::deque<PostedEvent>;
@@ -33,6 +34,7 @@
   Line outcomes_;
   Line departures_;
   Line requests_;
+  std::size_t statement_bytes_ = 0;
 };
 
 }  // namespace orchidgw::net
--- a/src/thrift/frame_reader.h
+++ b/src/thrift/frame_reader.h
@@ -17,7 +17,8 @@
   Result feed(std::string_view& bytes);
 
   const std::string& frame() const { return body_; }                  // after kFrame, until the next feed
-  std::size_t gathered() const { return whole_ ? 0 : body_.size(); }  // of a frame that is not whole
+  // What a frame that is not whole takes, with the room that its string has beyond it.
+  std::size_t gathered() const { return inside() ? body_.capacity() : 0; }
   bool inside() const { return head_bytes_ > 0 && !whole_; }
 
  private:
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -467,6 +467,20 @@
   EXPECT_EQ(controller->counters()["client_ends.too_much"], 1);
 }
 
+// Guards against a change log that sends more than there is memory for.
+TEST_F(Running, AnAnswerOfTheChangeLogHasABound) {
+  engine(serve_all);
+  HttpStandIn endless([](const HttpCall&) { return reply(200, {}, std::string(40000, ' ')); });
+  options.change_log = endless.address();
+  options.memory_mb = 2;  // 32 KiB of that for an answer
+  start();
+  ASSERT_TRUE(endless.wait_for([n = 0](const HttpCall&) mutable { return ++n == 3; }));
+  const auto counters = controller->counters();
+  EXPECT_GT(counters.at("change_log_ends.unreadable"), 0);
+  EXPECT_LE(counters.at("bytes.change_log_in"), counters.at("list.calls") * 8192);
+  EXPECT_EQ(ask().kind, Kind::kServed);
+}
+
 // Guards against memory filled with halves of frames.
 TEST_F(Running, UnfinishedFramesShareABound) {
   engine(serve_all);
--- a/tests/integration/engine_client_test.cpp
+++ b/tests/integration/engine_client_test.cpp
@@ -17,10 +17,18 @@
     HttpReply reply;
     reply.status = 204;
     if (call.method != "DELETE") reply.way = HttpReply::Way::kSilent;
+    if (call.body == "half") reply = half();
     return reply;
   }
 
-  void start(core::CallId id, core::CallKind kind) {
+  static HttpReply half() {
+    HttpReply reply;
+    reply.way = HttpReply::Way::kRaw;
+    reply.body = "HTTP/1.1 200 OK\r\nX-Pages: 1\r\nContent-Length: 6\r\n\r\nx\t";
+    return reply;
+  }
+
+  void start(core::CallId id, core::CallKind kind, const std::string& statement = "") {
     core::StartCall call;
     call.call = id;
     call.attempt = id;
@@ -30,6 +38,7 @@
     const auto colon = at.rfind(':');
     call.address = {at.substr(0, colon), static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1)))};
     call.reference = "00000000000000aa";
+    call.statement = statement;
     call.stop_at = net::unix_now() + 60'000'000;
     call.answer_by = call.stop_at;
     client.start(std::move(call));
@@ -109,6 +118,13 @@
   EXPECT_EQ(client.connections(), 0U);
 }
 
+// Guards against answers that stop short on a connection that stays open: the call has a minute left.
+TEST_F(FewDescriptors, AnAnswerThatStopsShortIsNotWaitedFor) {
+  start(1, core::CallKind::kStart, "half");
+  run_until([this] { return !events.empty(); });
+  EXPECT_EQ(std::get<core::CallEnded>(events.at(0)).end, core::ConnectionEnd::kSilent);
+}
+
 TEST_F(FewDescriptors, ADroppedCallThatWaitsWasNeverWritten) {
   for (core::CallId id = 1; id <= 8; ++id) start(id, core::CallKind::kStart);
   client.drop(8);
--- a/tests/unit/buffer_pool_test.cpp
+++ b/tests/unit/buffer_pool_test.cpp
@@ -46,6 +46,16 @@
   EXPECT_EQ(pool.in_use(), 0U);
 }
 
+// Guards against a peak of one moment that the process keeps for the rest of its days.
+TEST_F(Buffers, APeakIsGivenBack) {
+  std::vector<std::unique_ptr<Block>> blocks;
+  for (int i = 0; i < 60; ++i) blocks.push_back(pool.take());
+  for (auto& block : blocks) pool.give_back(std::move(block));
+  EXPECT_EQ(pool.in_use(), 0U);
+  EXPECT_LE(pool.kept_free(), kFreeKept);
+  EXPECT_GT(pool.kept_free(), 0U);
+}
+
 TEST_F(Buffers, BuffersAreUsedAgain) {
   const char* first = nullptr;
   {
--- a/tests/unit/event_queue_test.cpp
+++ b/tests/unit/event_queue_test.cpp
@@ -39,6 +39,22 @@
   EXPECT_FALSE(queue.next_request().has_value());
 }
 
+// Guards against clients that together pass the bound on statements within one turn.
+TEST(EventQueue, CountsTheStatementsInLine) {
+  EventQueue queue;
+  core::ClientRequest request;
+  request.statement = std::string(100, 'x');
+  for (core::RequestTag tag = 1; tag <= 3; ++tag) queue.push(core::RequestArrived{1, tag, request, ""}, 10);
+  queue.push(core::RequestArrived{2, 1, std::nullopt, "unusable"}, 10);
+  EXPECT_EQ(queue.statement_bytes(), 300U);
+  queue.push(core::RequestAborted{1, 2}, 20);
+  EXPECT_EQ(queue.statement_bytes(), 200U);
+  queue.next_request();
+  EXPECT_EQ(queue.statement_bytes(), 100U);
+  queue.push(core::ClientClosed{1}, 30);
+  EXPECT_EQ(queue.statement_bytes(), 0U);
+}
+
 TEST(EventQueue, KeepsTheOrderWithinAKind) {
   EventQueue queue;
   for (TimeUs at = 1; at <= 3; ++at) queue.push(core::CallEnded{}, at);
