--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -13,9 +13,10 @@
 
 constexpr std::int64_t kBytesPerMb = 1024L * 1024;
 // Of the memory, one part in so many is for (docs/architecture.md adds them up):
-constexpr std::int64_t kPoolPart = 4;         // buffers; what was begun may take half as much again
-constexpr std::int64_t kStatementsPart = 16;  // statements of open queries, and as much for their copies in calls
-constexpr std::int64_t kFramesPart = 16;      // frames that are not whole
+constexpr std::int64_t kPoolPart = 4;  // buffers; what was begun may take half as much again
+constexpr std::int64_t kStatementsPart =
+    16;                                   // statements of open queries, and as much for their copies in calls
+constexpr std::int64_t kFramesPart = 16;  // frames that are not whole
 constexpr std::int64_t kChangesPart = 64;     // one answer of the change log; reading it takes ten times that
 constexpr std::size_t kClientsPart = 3;       // of the descriptors: clients hold a third at the most
 constexpr std::size_t kDescriptorsKept = 32;  // listener, change log, signals, poll, standard ones
@@ -70,8 +71,8 @@
   reducer_.set_trace(log.on(log::Level::kDebug));
 }
 
-// Guards against running out of memory: who is not read keeps what he has to say. What was read in this turn counts
-// too, lest all clients together pass the bound in one.
+// Guards against running out of memory: who is not read keeps what he has to say. What was read in this turn
+// counts too, lest all clients together pass the bound in one.
 bool Controller::crowded() const {
   return pool_.low() || reducer_.held_bytes() + events_.statement_bytes() >= statement_bytes_most_;
 }
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -138,8 +138,8 @@
 TimeUs EngineConnection::due() const {
   if (state_ == State::kConnecting) return std::min(up_by_, call_->answer_by);
   if (state_ == State::kBusy && !parser_.begun()) return call_->answer_by;
-  // Guards against answers that stop short on a connection that stays open: waiting the call's whole time for the
-  // rest costs a short query its aim.
+  // Guards against answers that stop short on a connection that stays open: waiting the call's whole time for
+  // the rest costs a short query its aim.
   if (state_ == State::kBusy) return std::min(call_->answer_by, read_at_ + kStalledFor);
   return std::numeric_limits<TimeUs>::max();
 }
--- a/src/thrift/frame_reader.h
+++ b/src/thrift/frame_reader.h
@@ -16,7 +16,7 @@
   // Takes bytes off the front of `bytes` until a frame is whole or none are left.
   Result feed(std::string_view& bytes);
 
-  const std::string& frame() const { return body_; }                  // after kFrame, until the next feed
+  const std::string& frame() const { return body_; }  // after kFrame, until the next feed
   // What a frame that is not whole takes, with the room that its string has beyond it.
   std::size_t gathered() const { return inside() ? body_.capacity() : 0; }
   bool inside() const { return head_bytes_ > 0 && !whole_; }
