A class that an engine turns away goes elsewhere for a second

At fault: judge() noted 'full' as pressure alone, so route() took the same engine for the next query of the class. The other classes still go there; after a second one query tries again.

It may hurt where one engine is all there is: a query waits a second rather than being sent back at once.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -31,18 +31,15 @@
 constexpr double kOverdue = 4.0;            // x what its class takes now: an answer counts as lost
 constexpr TimeUs kNotesMissed = 3;          // x the progress interval without a sign of life: silent
 constexpr TimeUs kTrial = 1'500 * kMs;      // a suspect engine gets one trial query this often
-constexpr double kEngineWeight = 0.2;       // weight of one answer in an engine's slowdown and errors
-constexpr double kErrorShare = 0.3;         // share of failed answers from which an engine is suspect
-constexpr double kLearnWeight = 0.05;       // and in learned costs and the mean slowdown of all engines
-constexpr double kMeanWeight = 0.01;        // weight of one query in the mean worth and work
-constexpr double kSlowMost = 10.0;          // one answer counts as at most this slow: loads stall readers
-constexpr double kGrantSpill = 0.10;        // share of queries that may need more memory than granted
-constexpr double kGrantMost = 0.2;          // of an engine's memory that one query gets
-constexpr double kGrantStart = 1.25;        // x the estimate, before anything is learned
-constexpr double kGrantStep = 0.1;          // how fast that multiple moves (log scale, per answer)
-constexpr double kColdShare = 0.5;          // part of the cold allowance used: estimates and speeds vary
-constexpr double kColdOne = 0.2;            // of the whole allowance that one query of a turn may take
-constexpr double kLoadLength = 8.0;         // x its ideal time that a neighbour's load is believed to last
+constexpr double kEngineWeight = 0.2, kErrorShare = 0.3;   // of one answer; failed ones: suspect
+constexpr double kLearnWeight = 0.05, kMeanWeight = 0.01;  // of one answer in costs; of one query in means
+constexpr double kSlowMost = 10.0;    // one answer counts as at most this slow: loads stall readers
+constexpr double kGrantSpill = 0.10;  // share of queries that may need more memory than granted
+constexpr double kGrantMost = 0.2;    // of an engine's memory that one query gets
+constexpr double kGrantStart = 1.25;  // x the estimate, before anything is learned
+constexpr double kGrantStep = 0.1;    // how fast that multiple moves (log scale, per answer)
+constexpr double kColdShare = 0.5, kColdOne = 0.2;  // of the cold allowance: all; one query by turn
+constexpr double kLoadLength = 8.0;  // x its ideal time that a neighbour's load is believed to last
 constexpr std::uint32_t kAllGroups = 0xffffffff;  // in news: no load, the engine is slow
 constexpr int kTriedRank = 100;                   // engines tried before come after all others
 constexpr size_t kOrdersMost = 4096;              // groups whose order is kept
@@ -111,6 +108,7 @@
   double errors = 0;
   TimeUs last_sign = 0;  // of life: an answer or a note
   TimeUs last_full = -kWindow;
+  std::map<int, TimeUs> closed;  // class: until when it is spared this engine, which turned it away
   bool suspect = false;
   TimeUs next_trial = 0;
 };
@@ -742,6 +740,8 @@
   // --- Engine health --------------------------------------------------------------------------------------
   // A suspect engine gets one trial query at a time, of a class that is safe to repeat.
   bool healthy(const Engine& e, const Held& h, TimeUs now) const {
+    if (const auto at = e.closed.find(h.q.class_index); at != e.closed.end() && now < at->second)
+      return false;
     return !e.suspect || (cls(h).effect == Effect::kIdempotent && h.attempts.empty() && now >= e.next_trial);
   }
 
@@ -756,6 +756,7 @@
       if (e.suspect && e.errors < kErrorShare) clear_suspicion(e);
     } else if (o.kind == OutcomeKind::kFull) {
       e.last_full = now;
+      e.closed[queries_.at(o.query).q.class_index] = now + kFullMemory;
     } else if (o.kind == OutcomeKind::kError) {
       e.last_sign = now;
       e.errors += kEngineWeight * (1 - e.errors);
--- a/tests/unit/module_test.cpp
+++ b/tests/unit/module_test.cpp
@@ -944,6 +944,28 @@
   EXPECT_EQ(sink.sent.back().engine, home);
 }
 
+// Engines that turn one class away while others take it had each such query three times, for all of its
+// attempts.
+TEST_F(Module, AClassThatIsTurnedAwayGoesElsewhereForAWhile) {
+  ClassSettings other = plain_class();
+  other.name = "other";
+  s.classes.push_back(other);
+  begin(3);
+  take(query(1));
+  const EngineId home = sink.sent.at(0).engine;
+  answer(0, OutcomeKind::kFull);
+  take(query(2));
+  EXPECT_NE(sink.sent.back().engine, home);
+  Query q = query(3);
+  q.class_index = 1;  // it was not turned away
+  take(q);
+  EXPECT_EQ(sink.sent.back().engine, home);
+  run_until(3 * kSecond);
+  for (size_t i = 1; i < sink.sent.size(); ++i) answer(i, OutcomeKind::kOk, 100 * kMs);
+  take(query(4));
+  EXPECT_EQ(sink.sent.back().engine, home);
+}
+
 // Incident r93ae0d: a fixed wait of 0.7 s for an answer was longer than the aim itself.
 TEST_F(Module, AQueryIsOverdueInTimeToGoElsewhereWhereAimsAreShort) {
   s.classes[0].aim = 300 * kMs;
