Tests: each controller listens on a loopback address of its own process

A whole run failed once where six runs beside it passed; the port that a controller was to open came from the system's range for outgoing connections, which other tests' clients use.

--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -19,10 +19,19 @@
 
 constexpr auto kLongTime = std::chrono::seconds(20);
 
+// A loopback address of this process's own. Guards against tests run beside it, whose clients may be given
+// the port between the probe and the controller's start.
+std::string own_host() {
+  constexpr unsigned kByte = 0xff;
+  const auto pid = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(1 + (pid >> 16) % 200) + "." + std::to_string(pid >> 8 & kByte) + "." +
+         std::to_string(1 + (pid & kByte) % 254);
+}
+
 // A port that is free now; the controller opens it next.
 std::string free_address() {
   Poco::Net::ServerSocket probe;
-  probe.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true);
+  probe.bind(Poco::Net::SocketAddress(own_host() + ":0"), true);
   return probe.address().toString();
 }
 
