--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -777,9 +777,9 @@
         if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
         const bool notes = s_.progress_interval > 0;
         const bool quiet = now - std::max(a.sent_at, e.last_sign) > kNotesMissed * s_.progress_interval;
-        const double floor = std::min(kSilenceFloor, kSilencePart * static_cast<double>(cls(h).aim));
-        const double patience = std::max(kOverdue * learned(h).slow * ideal(h), floor);
-        const bool late = static_cast<double>(now - a.sent_at) > patience;
+        const double part = notes ? kSilenceFloor : kSilencePart * static_cast<double>(cls(h).aim);
+        const double wait = std::max(kOverdue * learned(h).slow * ideal(h), std::min(kSilenceFloor, part));
+        const bool late = static_cast<double>(now - a.sent_at) > wait;
         const bool news = late && !a.late && !cls(h).load && !stalled_for(h, e, now);
         // Guards against waiting behind a load that nobody tells of, at an engine that answers others.
         const bool held = news && !notes && cls(h).waits_for_loads && e.last_sign > a.sent_at;
