--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -102,27 +102,7 @@
 }
 
 OutcomeKind outcome_of(ConnectionEnd end, bool started) {
-  const bool may_have_run = started || may_have_arrived(end);
   switch (end) {
-    case ConnectionEnd::kRefused:
-    case ConnectionEnd::kNotUpInTime:
-    case ConnectionEnd::kUnreachable:
-    case ConnectionEnd::kNoDescriptor:
-    case ConnectionEnd::kResetUnsent:
-    case ConnectionEnd::kClosedIdle:
-    case ConnectionEnd::kClosedUnsent:
-    case ConnectionEnd::kIdleExpired:
-    case ConnectionEnd::kAttemptOver:
-      return may_have_run ? OutcomeKind::kReset : OutcomeKind::kConnectFailed;
-    case ConnectionEnd::kResetUnanswered:
-    case ConnectionEnd::kResetMidAnswer:
-    case ConnectionEnd::kClosedUnanswered:
-    case ConnectionEnd::kClosedMidAnswer:
-    case ConnectionEnd::kTooMuch:
-    case ConnectionEnd::kMadeRoom:
-    case ConnectionEnd::kMoved:
-    case ConnectionEnd::kShutDown:
-      return OutcomeKind::kReset;
     case ConnectionEnd::kSilent:
       return OutcomeKind::kTimeout;
     case ConnectionEnd::kUnreadable:
@@ -130,8 +110,9 @@
     case ConnectionEnd::kDroppedUnsent:
     case ConnectionEnd::kDropped:
       return OutcomeKind::kCancelled;
+    default:  // all others say only whether the query can have run
+      return started || may_have_arrived(end) ? OutcomeKind::kReset : OutcomeKind::kConnectFailed;
   }
-  return OutcomeKind::kReset;
 }
 
 }  // namespace orchidgw::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -63,17 +63,17 @@
     emit(AnswerFailed{event.client, event.tag, why, true});
   };
   if (!event.request) return unusable(event.why);
-  if (const std::string fault = fault_of(*event.request); !fault.empty()) return unusable(fault);
+  const auto known = classes_.find(event.request->class_name);
+  if (known == classes_.end()) return unusable("unknown class");
+  const ClassSettings& c = settings_.classes[static_cast<std::size_t>(known->second)];
+  if (const std::string fault = fault_of(*event.request, c); !fault.empty()) return unusable(fault);
   if (!list_known_) return unusable("not ready");
-  take(event, classes_.at(event.request->class_name));
+  take(event, known->second);
 }
 
 // Guards against requests that engines can't use: they answer an error, which says nothing of the engine; and
 // against two queries under one reference, of which giving up one would end the other.
-std::string Reducer::fault_of(const ClientRequest& request) const {
-  const auto known = classes_.find(request.class_name);
-  if (known == classes_.end()) return "unknown class";
-  const ClassSettings& c = settings_.classes[static_cast<std::size_t>(known->second)];
+std::string Reducer::fault_of(const ClientRequest& request, const ClassSettings& c) const {
   const auto same_name = [&](const TenantSettings& t) { return t.name == request.tenant; };
   if (!settings_.tenants.empty() &&
       std::none_of(settings_.tenants.begin(), settings_.tenants.end(), same_name))
@@ -247,12 +247,11 @@
 
 void Reducer::page_came(QueryId id, std::size_t n, CallAnswer& answer) {
   AttemptState& a = attempt_at(id, n);
-  const bool wanted =
-      answer.kind == CallAnswer::Kind::kPage && answer.page == static_cast<int>(a.rows.size());
   if (answer.kind != CallAnswer::Kind::kPage) return conclude(id, n, OutcomeKind::kError);
-  if (!wanted) {  // guards against a second copy that is taken for the answer to the next call
+  // Guards against a second copy that is taken for the answer to the next call.
+  if (answer.page != static_cast<int>(a.rows.size())) {
     emit(CloseConnection{a.serial});
-    return ask_again(id, n, CallKind::kPage);
+    return ask_again(id, n, CallKind::kPage, OutcomeKind::kError);
   }
   a.broken = 0;
   a.rows.push_back(std::move(answer.rows));
@@ -282,13 +281,15 @@
     return conclude(id, n, outcome);
   }
   const bool may_be_there = a.phase == Phase::kPaging || now_ - a.heard_at < bounds_.forgotten;
-  if (!may_be_there || a.broken >= bounds_.broken_most) return give_up(id, n, outcome);
-  ask_again(id, n, a.phase == Phase::kPaging ? CallKind::kPage : CallKind::kNews);
+  if (!may_be_there) return give_up(id, n, outcome);
+  ask_again(id, n, a.phase == Phase::kPaging ? CallKind::kPage : CallKind::kNews, outcome);
 }
 
-void Reducer::ask_again(QueryId id, std::size_t n, CallKind kind) {
+// Once too many calls in a row broke, the attempt is given up. One that is being given up already waits for
+// the timer by which its engine will have dropped it.
+void Reducer::ask_again(QueryId id, std::size_t n, CallKind kind, OutcomeKind else_as) {
   AttemptState& a = attempt_at(id, n);
-  if (a.broken >= bounds_.broken_most) return give_up(id, n, OutcomeKind::kError);
+  if (a.broken >= bounds_.broken_most) return give_up(id, n, else_as);
   ++a.broken;
   ++counters_.asked_again;
   call(id, n, kind);
@@ -325,8 +326,7 @@
   const bool heard = end == ConnectionEnd::kUnreadable || end == ConnectionEnd::kClosedMidAnswer ||
                      end == ConnectionEnd::kResetMidAnswer;
   if (heard || end == ConnectionEnd::kRefused) return conclude(id, n, a.given_up_as);
-  if (a.broken >= bounds_.broken_most) return;  // the engine will have dropped it when the timer fires
-  ask_again(id, n, CallKind::kGiveUp);
+  ask_again(id, n, CallKind::kGiveUp, a.given_up_as);
 }
 
 void Reducer::stop_due(QueryId id, std::size_t n) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -117,8 +117,8 @@
   void on(CallEnded& event);
   void on(TimePassed& event);
 
-  // What is wrong with a request that was read; empty: nothing.
-  std::string fault_of(const ClientRequest& request) const;
+  // What is wrong with a request of that class; empty: nothing.
+  std::string fault_of(const ClientRequest& request, const ClassSettings& c) const;
   void take(RequestArrived& event, int class_index);
   void leave(const OpenKey& key);
 
@@ -128,7 +128,7 @@
   void page_came(QueryId id, std::size_t n, CallAnswer& answer);
   void next_page(QueryId id, std::size_t n);
   void broke(QueryId id, std::size_t n, ConnectionEnd end);
-  void ask_again(QueryId id, std::size_t n, CallKind kind);
+  void ask_again(QueryId id, std::size_t n, CallKind kind, OutcomeKind else_as);
   void give_up(QueryId id, std::size_t n, OutcomeKind as);
   void stopped_asking(QueryId id, std::size_t n, ConnectionEnd end);
   void give_up_broke(QueryId id, std::size_t n, ConnectionEnd end);
--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -5,13 +5,21 @@
 
 #include "core/connection_end.h"
 #include "http/response_parser.h"
-#include "net/buffer_pool.h"
 
 namespace orchidgw::net {
 
-// Takes an answer's bytes off the front of `bytes`, its body into `body`. Never kBody.
+// Takes an answer's bytes off the front of `bytes` and hands the pieces of its body to `take`. Never kBody.
+template <typename Take>
 http::ResponseParser::Result read_answer_bytes(http::ResponseParser& parser, std::string_view& bytes,
-                                               BufferChain& body);
+                                               Take take) {
+  using Result = http::ResponseParser::Result;
+  Result result = parser.feed(bytes);
+  while (result == Result::kBody) {
+    take(parser.piece());
+    result = parser.feed(bytes);
+  }
+  return result;
+}
 
 // How a connection has ended whose call was written whole and whose answer is not.
 core::ConnectionEnd end_before_whole_answer(const http::ResponseParser& parser, bool reset);
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -73,11 +73,6 @@
   return {};
 }
 
-char BufferChain::back() const {
-  const Link& last = links_.back();
-  return (*last.block)[last.to - 1];
-}
-
 void BufferChain::drop(std::size_t bytes) {
   size_ -= std::min(bytes, size_);
   while (!links_.empty()) {
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -64,7 +64,6 @@
   void filled(std::size_t bytes);    // so much of it was written
 
   std::string_view front() const;  // the first stretch; empty if the chain is
-  char back() const;               // the last byte of a chain that has one
   void drop(std::size_t bytes);    // from the front
   void clear();
   std::string text() const;  // a copy of all
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -113,7 +113,8 @@
 // False if what came can't be read.
 bool ChangeLog::read_bytes(std::string_view bytes) {
   using Result = http::ResponseParser::Result;
-  const Result result = read_answer_bytes(parser_, bytes, body_);
+  const Result result =
+      read_answer_bytes(parser_, bytes, [this](std::string_view piece) { body_.append(piece); });
   if (result != Result::kDone) return result == Result::kMore;
   return bytes.empty() && answer_is_whole();
 }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -124,7 +124,7 @@
 
 // Guards against clients that send what can't be used again and again, as fast as it is turned away.
 void ClientConnection::count_unusable() {
-  if (++unusable_ >= kUnusableMost && channel_.is_open()) close(ConnectionEnd::kTooMuch);
+  if (++unusable_ >= kUnusableMost) close(ConnectionEnd::kTooMuch);
 }
 
 void ClientConnection::send(std::string_view bytes) {
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -13,11 +13,10 @@
 
 constexpr std::int64_t kBytesPerMb = 1024L * 1024;
 // Of the memory, one part in so many is for (docs/architecture.md adds them up):
-constexpr std::int64_t kPoolPart = 4;  // buffers; what was begun may take half as much again
-constexpr std::int64_t kStatementsPart =
-    16;                                   // statements of open queries, and as much for their copies in calls
-constexpr std::int64_t kFramesPart = 16;  // frames that are not whole
-constexpr std::int64_t kChangesPart = 64;     // one answer of the change log; reading it takes ten times that
+constexpr std::int64_t kPoolPart = 4;         // buffers; what was begun may take half as much again
+constexpr std::int64_t kStatementsPart = 16;  // statements of open queries, and as much for their copies
+constexpr std::int64_t kFramesPart = 16;      // frames that are not whole
+constexpr std::int64_t kChangesPart = 64;     // an answer of the change log; reading takes ten times that
 constexpr std::size_t kClientsPart = 3;       // of the descriptors: clients hold a third at the most
 constexpr std::size_t kDescriptorsKept = 32;  // listener, change log, signals, poll, standard ones
 constexpr TimeUs kWaitMost = 1'000'000;
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -97,12 +97,10 @@
 // False if what came can't be read.
 bool EngineConnection::read_bytes(std::string_view bytes) {
   using Result = http::ResponseParser::Result;
-  Result result = parser_.feed(bytes);
-  while (result == Result::kBody) {
-    rows_.feed(parser_.piece());
-    body_.append(parser_.piece());
-    result = parser_.feed(bytes);
-  }
+  const Result result = read_answer_bytes(parser_, bytes, [this](std::string_view piece) {
+    rows_.feed(piece);
+    body_.append(piece);
+  });
   if (result != Result::kDone) return result == Result::kMore;
   answer_is_whole(bytes.empty());
   return true;
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -102,7 +102,6 @@
   if (now - swept_at_ < kSweepEvery) return;
   swept_at_ = now;
   sweep(now);
-  if (stopping_) close_idle(now);
   go_on_accepting();
 }
 
@@ -113,6 +112,10 @@
   for (const auto& [id, client] : all) {
     if (client->paused()) client->read_on();
     client->sweep(now, has_open_requests(id));
+    // A stop does not wait for clients that ask for nothing, nor for what they leave half said.
+    const bool done = client->unsent() == 0 && !has_open_requests(id);
+    if (stopping_ && done && now - client->quiet_since() > kSettled)
+      client->close(core::ConnectionEnd::kShutDown);
   }
 }
 
@@ -123,15 +126,6 @@
   listener_.close();
 }
 
-// A stop does not wait for clients that ask for nothing, nor for what they leave half said.
-void FrontDoor::close_idle(TimeUs now) {
-  const auto all = clients_;
-  for (const auto& [id, client] : all) {
-    const bool done = client->unsent() == 0 && !has_open_requests(id);
-    if (done && now - client->quiet_since() > kSettled) client->close(core::ConnectionEnd::kShutDown);
-  }
-}
-
 void FrontDoor::close_all() {
   while (!clients_.empty()) clients_.begin()->second->close(core::ConnectionEnd::kShutDown);
 }
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -47,7 +47,6 @@
   void go_on_accepting();
   void shed_unread();
   void sweep(TimeUs now);
-  void close_idle(TimeUs now);
 
   Context& context_;
   Channel listener_;
