--- a/src/core/events.h
+++ b/src/core/events.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -11,6 +12,7 @@
 #include "core/engine_listing.h"
 #include "core/payload.h"
 #include "decision/decision.h"
+#include "limits/limit_set.h"
 
 namespace orchidgw::core {
 
@@ -78,7 +80,12 @@
 
 struct TimePassed {};  // timers that are due fire
 
+// A file's limits are in force from now on.
+struct LimitsChanged {
+  std::shared_ptr<const limits::LimitSet> set;
+};
+
 using Event = std::variant<EnginesChanged, CallAnswered, CallEnded, RequestAborted, ClientClosed, TimePassed,
-                           RequestArrived>;
+                           LimitsChanged, RequestArrived>;
 
 }  // namespace orchidgw::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -15,7 +15,8 @@
     : settings_(settings),
       counters_(counters),
       bounds_(bounds),
-      module_(make_workload_budget(settings, seed)) {
+      module_(make_workload_budget(settings, seed)),
+      limiter_(settings, seed) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
     classes_[settings_.classes[i].name] = static_cast<int>(i);
 }
@@ -26,7 +27,9 @@
   std::visit([this](auto& e) { on(e); }, event);
   deliver_pending();
   forget_what_is_over();
+  release_those_due();
   counters_.open_queries.set(queries_.size());
+  counters_.waiting_queries.set(limiter_.waiting());
   counters_.open_calls.set(calls_.size());
   return std::move(effects_);
 }
@@ -101,25 +104,65 @@
   query.client = event.client;
   query.tag = event.tag;
   query.request = std::move(*event.request);
-  query.deadline = now_ + query.request.time_budget;
+  const TableUse use = table_use_of(query.request.statement);
+  query.taken_at = now_;
+  query.class_index = class_index;
+  query.table_group = use.group;
   held_bytes_ += query.request.statement.size();
   references_.insert(query.request.reference);
   open_[{event.client, event.tag}] = id;
   ++counters_.taken;
+  touched_.push_back(id);
+  const ClientRequest& r = query.request;
+  const limits::Verdict verdict =
+      limiter_.admit(now_, {id, class_index, r.tenant, use.table, !r.idempotency_key.empty(), r.time_budget});
+  query.deadline = now_ + limiter_.time_for(id, r.time_budget);
+  follow(id, verdict);
+}
+
+// What the limits say of a query that is new, or whose wait is over.
+void Reducer::follow(QueryId id, const limits::Verdict& verdict) {
+  switch (verdict.kind) {
+    case limits::Verdict::Kind::kLetIn:
+      return let_in(id);
+    case limits::Verdict::Kind::kWait:
+      if (trace_) trace_answered(id, "waits", queries_.at(id));
+      return;
+    case limits::Verdict::Kind::kRefuse:  // never sent: a refusal is always harmless
+      return turn_away(id, verdict.reason, verdict.retry_after);
+  }
+}
+
+void Reducer::let_in(QueryId id) {
+  QueryState& query = queries_.at(id);
+  query.let_in = true;
   Query q;
   q.id = id;
   q.tenant = query.request.tenant;
-  q.class_index = class_index;
-  q.table_group = table_group_of(query.request.statement);
-  q.time_budget = query.request.time_budget;
+  q.class_index = query.class_index;
+  q.table_group = query.table_group;
+  q.time_budget = query.deadline - now_;
   q.memory_mb = query.request.memory_mb;
   q.cost_estimate = query.request.cost_estimate;
   q.repeat = query.request.repeat;
-  touched_.push_back(id);
+  q.waited = now_ - query.taken_at;
+  q.limits = limiter_.pass_of(id);
   if (trace_) trace_taken(q, query);
   module_->on_query(now_, q, *this);
 }
 
+// Each is let in or answered in turn; what one sets free may be the next one's place.
+void Reducer::release_those_due() {
+  while (const auto release = limiter_.next_release(now_)) {
+    touched_.push_back(release->id);
+    follow(release->id, release->verdict);
+    deliver_pending();
+    forget_what_is_over();
+  }
+}
+
+void Reducer::on(LimitsChanged& event) { limiter_.put_in_force(now_, std::move(event.set)); }
+
 void Reducer::on(RequestAborted& event) { leave({event.client, event.tag}); }
 
 void Reducer::on(ClientClosed& event) {
@@ -135,9 +178,10 @@
   if (it == open_.end()) return;
   const QueryId id = it->second;
   ++counters_.aborted;
-  end(queries_.at(id));
+  QueryState& query = queries_.at(id);
+  end(query);
   touched_.push_back(id);
-  module_->on_client_gone(now_, id, *this);
+  if (query.let_in) module_->on_client_gone(now_, id, *this);
 }
 
 void Reducer::end(QueryState& query) {
@@ -393,6 +437,9 @@
     end(query);
   }
   touched_.push_back(pending.query);
+  const int threads = settings_.classes[static_cast<std::size_t>(query.class_index)].threads;
+  limiter_.attempt_ended(now_, pending.query, pending.kind, outcome.latency,
+                         query.request.cost_estimate / threads);
   if (trace_) trace_ended(outcome, query);
   module_->on_outcome(now_, outcome, *this);
 }
@@ -406,6 +453,7 @@
     const bool over = std::all_of(attempts.begin(), attempts.end(),
                                   [](const AttemptState& a) { return a.phase == Phase::kOver && a.told; });
     if (!over) continue;
+    limiter_.over(now_, id);
     held_bytes_ -= it->second.request.statement.size();
     references_.erase(it->second.request.reference);
     queries_.erase(it);
@@ -453,6 +501,7 @@
     return conclude(id, n, moot ? OutcomeKind::kMoot : OutcomeKind::kConnectFailed);
   }
   ++counters_.sent;
+  limiter_.attempt_sent(now_, id);
   a.serial = ++last_attempt_;
   a.heard_at = now_;
   a.address = it->second.address;
@@ -462,10 +511,16 @@
 }
 
 void Reducer::refuse(QueryId id, TimeUs retry_after) {
+  const Reason forbidden = limiter_.forbidden(id);
+  turn_away(id, forbidden == Reason::kNone ? Reason::kDecision : forbidden, retry_after);
+}
+
+void Reducer::turn_away(QueryId id, Reason reason, TimeUs retry_after) {
   QueryState* query = find_query(id);
   if (query == nullptr || query->ended) return;
   ++counters_.refused;
-  if (trace_) trace_answered(id, "refused", *query);
+  ++counters_.refusals[static_cast<std::size_t>(reason)];
+  if (trace_) trace_answered(id, name_of(reason), *query);
   emit(AnswerRefused{query->client, query->tag, retry_after});
   end(*query);
   touched_.push_back(id);
@@ -545,6 +600,12 @@
   emit(LogText{log::Level::kDebug, line.str()});
 }
 
+std::optional<TimeUs> Reducer::next_due() const {
+  const auto timer = timers_.next_due();
+  const auto limit = limiter_.next_due();
+  return timer && limit ? std::min(*timer, *limit) : timer ? timer : limit;
+}
+
 // --- Records ----------------------------------------------------------------------------------------------
 
 std::size_t Reducer::open_requests_of(ClientId client) const {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -16,6 +16,7 @@
 #include "core/events.h"
 #include "core/timer_queue.h"
 #include "decision/decision.h"
+#include "limits/limiter.h"
 #include "metrics/counters.h"
 
 namespace orchidgw::core {
@@ -41,7 +42,8 @@
   // Takes one event in; the effects come in the order in which they are to be done.
   std::vector<SideEffect> apply(TimeUs now, Event event);
 
-  std::optional<TimeUs> next_due() const { return timers_.next_due(); }
+  std::optional<TimeUs> next_due() const;
+  const limits::Limiter& limiter() const { return limiter_; }
   bool ready() const { return list_known_; }  // the module can decide
   std::size_t open_requests() const { return open_.size(); }
   std::size_t open_requests_of(ClientId client) const;
@@ -77,7 +79,11 @@
     ClientId client = 0;
     RequestTag tag = 0;
     ClientRequest request;
+    TimeUs taken_at = 0;
     TimeUs deadline = 0;
+    int class_index = 0;
+    std::int64_t table_group = 0;
+    bool let_in = false;  // the module has it; else it waits for its turn under its limits
     int priority = 1;
     double grant_mb = 0;
     bool ended = false;  // answered, or nothing is owed any more
@@ -116,10 +122,15 @@
   void on(CallAnswered& event);
   void on(CallEnded& event);
   void on(TimePassed& event);
+  void on(LimitsChanged& event);
 
   // What is wrong with a request of that class; empty: nothing.
   std::string fault_of(const ClientRequest& request, const ClassSettings& c) const;
   void take(RequestArrived& event, int class_index);
+  void follow(QueryId id, const limits::Verdict& verdict);
+  void let_in(QueryId id);
+  void turn_away(QueryId id, Reason reason, TimeUs retry_after);
+  void release_those_due();
   void leave(const OpenKey& key);
 
   // The course of an attempt.
@@ -187,6 +198,7 @@
   std::vector<QueryId> touched_;  // looked at once the event is done: what is over is forgotten
   // References of all queries that an engine may have, lest two share one there.
   std::unordered_set<std::string> references_;
+  limits::Limiter limiter_;
   std::size_t held_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   QueryId last_query_ = 0;
--- a/src/core/table_group.cpp
+++ b/src/core/table_group.cpp
@@ -116,15 +116,19 @@
 // The schemas that stand where a table stands, in order, and the names that are aliases of tables.
 struct TableList {
   std::vector<std::string> schemas;
+  std::string first_table;  // outside `staging`
   std::vector<std::string> aliases;
 };
 
 void read_table_list(const std::vector<Token>& t, std::size_t at, TableList& list) {
   while (at < t.size() && t[at].identifier) {
+    const std::size_t first = at;
     if (is(t, at + 1, ".", false)) {
       list.schemas.push_back(t[at].text);
       at += 2;
     }
+    if (list.first_table.empty() && t[first].text != "staging" && at < t.size() && t[at].identifier)
+      list.first_table = at == first ? t[at].text : t[first].text + "." + t[at].text;
     const auto end = past_alias(t, at + 1);
     if (end > at + 1) list.aliases.push_back(t[end - 1].text);
     at = end;
@@ -148,7 +152,9 @@
 
 }  // namespace
 
-std::int64_t table_group_of(std::string_view statement) {
+std::int64_t table_group_of(std::string_view statement) { return table_use_of(statement).group; }
+
+TableUse table_use_of(std::string_view statement) {
   const std::vector<Token> t = tokens_of(statement);
   TableList list;
   std::vector<std::string> dotted;
@@ -158,8 +164,8 @@
     if (leads && is(t, i + 1, ".", false)) dotted.push_back(t[i].text);
     if (leads && opens_table_list(t[i].text)) read_table_list(t, i + 1, list);
   }
-  if (const auto number = first_number(list.schemas, list)) return *number;
-  return first_number(dotted, list).value_or(0);
+  const auto number = first_number(list.schemas, list);
+  return {number ? *number : first_number(dotted, list).value_or(0), std::move(list.first_table)};
 }
 
 }  // namespace orchidgw::core
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -106,6 +106,22 @@
   EngineState state = EngineState::kInService;
 };
 
+// What an operator's limits leave for one query (src/limits). The module's guard asks it beside its own
+// rules: it can forbid and shorten, never allow more.
+class QueryLimits {
+ public:
+  virtual ~QueryLimits() = default;
+  // Before each send: `sent` attempts so far, `in_flight` of them without an outcome.
+  virtual bool may_send(TimeUs now, int sent, int in_flight) const = 0;
+  // Whether one more attempt may follow, with none in flight and the last of `sent` ended so.
+  virtual bool may_follow(TimeUs now, OutcomeKind last, int sent) const = 0;
+  virtual TimeUs next_send_at() const = 0;                        // no further attempt before; 0: at once
+  virtual TimeUs stop_at(TimeUs now, TimeUs deadline) const = 0;  // of an attempt that is sent now
+  virtual TimeUs hold_until(TimeUs last) const = 0;               // of a query never sent: `last` or before
+  // Whether an attempt sent then, still out, is to have a second copy; `sent` attempts so far.
+  virtual bool copy_due(TimeUs now, TimeUs sent_at, int sent) const = 0;
+};
+
 struct Query {
   QueryId id = 0;
   std::string tenant;  // empty: untagged
@@ -116,6 +132,8 @@
   double memory_mb = 0;      // estimate; 0: none
   TimeUs cost_estimate = 0;  // 0: none
   bool repeat = false;
+  TimeUs waited = 0;  // from when it was taken until the module got it; the time budget is what is left
+  std::shared_ptr<const QueryLimits> limits;  // null: none
 };
 
 using LoadReport = std::map<std::string, double>;
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -178,11 +178,12 @@
   void on_query(TimeUs now, const Query& q, ActionSink& sink) override {
     start(now, sink);
     arrivals_.push_back(now);
-    if (s_.rules.attempts_rationed) taken_.push_back(now);
+    // Guards against a ration over too late a window: one that waited before counts as no query taken now.
+    if (s_.rules.attempts_rationed && q.waited == 0) taken_.push_back(now);
     const ClassSettings& c = s_.classes.at(static_cast<size_t>(q.class_index));
     Held& h = queries_[q.id];
     h.q = q;
-    h.arrived = now;
+    h.arrived = now - q.waited;
     h.deadline = now + std::min(q.time_budget, c.deadline);
     h.seq = ++seq_;
     h.cost = expected_cost(q);
@@ -526,7 +527,8 @@
 
   // A held query is worth starting until its aim can't be met, or its time ends if it can't be refused.
   TimeUs give_up_at(const Held& h) const {
-    const TimeUs last = h.deadline - kAnswerMargin;
+    TimeUs last = h.deadline - kAnswerMargin;
+    if (h.q.limits && h.attempts.empty()) last = h.q.limits->hold_until(last);
     if (!may_refuse(h)) return last;
     const double aim = static_cast<double>(cls(h).aim) + cls(h).aim_stretch * ideal(h);
     return std::min(last, h.arrived + static_cast<TimeUs>(std::max(aim - 1.5 * ideal(h), aim * 0.3)));
@@ -577,7 +579,9 @@
   bool may_send(const Held& h, const Engine& e, TimeUs now) {
     const ClassSettings& c = cls(h);
     if (h.ended || now >= h.deadline) return false;
-    if (static_cast<int>(h.attempts.size()) >= s_.limits.max_attempts) return false;
+    const int sent = static_cast<int>(h.attempts.size());
+    if (sent >= s_.limits.max_attempts) return false;
+    if (h.q.limits && !h.q.limits->may_send(now, sent, h.in_flight())) return false;
     return e.listed  // rule 3: from the moment a drain is told, well inside the grace
            && effect_allows(h, c, e, now) && placement_allows(c, e) && order_allows(h, c, now) &&
            ration_allows(h, now) && cold_allows(h, e, now);
@@ -665,7 +669,7 @@
     e.out.insert({h.q.id, static_cast<int>(h.attempts.size())});
     if (e.suspect) e.next_trial = now + kTrial;
     h.attempts.push_back(std::move(a));
-    sink.send(h.q.id, e.entry.id, h.deadline);
+    sink.send(h.q.id, e.entry.id, h.q.limits ? h.q.limits->stop_at(now, h.deadline) : h.deadline);
   }
 
   // Short cores and disks go first to what earns most for them.
@@ -682,7 +686,11 @@
     const bool may_repeat = std::any_of(engines_.begin(), engines_.end(), [&](const auto& p) {
       return effect_allows(h, cls(h), p.second, now) && placement_allows(cls(h), p.second);
     });
-    if (!tries_left || !may_repeat || now >= give_up_at(h)) return answer(now, h, sink);
+    const QueryLimits* const own = h.q.limits.get();
+    const TimeUs next = own ? std::max(own->next_send_at(), now) : now;
+    const bool may_follow =
+        !own || own->may_follow(now, h.attempts.back().outcome, static_cast<int>(h.attempts.size()));
+    if (!tries_left || !may_repeat || !may_follow || next >= give_up_at(h)) return answer(now, h, sink);
     hold(h);
     sink.set_timer(give_up_at(h) - now, kTokenWake);
   }
@@ -774,6 +782,8 @@
       for (const auto& [query, n] : e.out) {
         Held& h = queries_.at(query);
         Attempt& a = h.attempts[static_cast<size_t>(n)];
+        const int sent = static_cast<int>(h.attempts.size());
+        if (!h.ended && !h.waiting && h.q.limits && h.q.limits->copy_due(now, a.sent_at, sent)) hold(h);
         if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
         const bool notes = s_.progress_interval > 0;
         const bool quiet = now - std::max(a.sent_at, e.last_sign) > kNotesMissed * s_.progress_interval;
--- /dev/null
+++ b/src/limits/check.cpp
@@ -0,0 +1,278 @@
+#include "limits/check.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "limits/check_bounds.h"
+#include "limits/limit_set.h"
+
+namespace orchidgw::limits {
+namespace {
+
+class Checker {
+ public:
+  Checker(const Settings& settings, const LimitFile& file, std::size_t routes_most)
+      : settings_(settings), file_(file), routes_most_(routes_most) {}
+
+  std::vector<Fault> run() {
+    if (file_.routes.size() > routes_most_) {
+      fault(file_.routes[routes_most_].place, "routes",
+            "more routes than the memory limit allows: " + std::to_string(routes_most_) + " at most");
+      return std::move(faults_);
+    }
+    check_names();
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) check_match(i);
+    check_alike();
+    if (faults_.empty()) check_reach();
+    check_bounds_of_defaults();
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) check_route(i);
+    check_allowance();
+    if (faults_.empty()) check_closed();
+    std::stable_sort(faults_.begin(), faults_.end(),
+                     [](const Fault& a, const Fault& b) { return a.place.line < b.place.line; });
+    return std::move(faults_);
+  }
+
+ private:
+  void fault(Place place, std::string path, std::string why) {
+    faults_.push_back({place, std::move(path), std::move(why)});
+  }
+
+  static std::string path_of(std::size_t i, const char* field = "") {
+    return "routes[" + std::to_string(i) + "]" + field;
+  }
+
+  const ClassSettings* class_named(const std::string& name) const {
+    for (const ClassSettings& c : settings_.classes)
+      if (c.name == name) return &c;
+    return nullptr;
+  }
+
+  void check_names() {
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) {
+      const Route& route = file_.routes[i];
+      if (route.name == kDefaultRoute)
+        fault(route.place, path_of(i, ".name"), "the name 'defaults' is taken");
+      if (!by_name_.try_emplace(route.name, &route).second)
+        fault(route.place, path_of(i, ".name"),
+              "another route has this name: line " + std::to_string(by_name_[route.name]->place.line));
+    }
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) {
+      const Route& route = file_.routes[i];
+      if (!route.like) continue;
+      const auto it = by_name_.find(route.like->value);
+      if (it == by_name_.end()) {
+        fault(route.like->place, path_of(i, ".like"), "no route has the name '" + route.like->value + "'");
+      } else if (it->second == &route) {
+        fault(route.like->place, path_of(i, ".like"), "a route can't be like itself");
+      } else if (it->second->like) {
+        fault(route.like->place, path_of(i, ".like"),
+              "one level only: '" + route.like->value + "' is like another route itself");
+      }
+    }
+  }
+
+  void check_match(std::size_t i) {
+    const Match& match = file_.routes[i].match;
+    if (match.class_name) {
+      const ClassSettings* c = class_named(match.class_name->value);
+      if (c == nullptr) {
+        fault(match.class_name->place, path_of(i, ".match.class"),
+              "the settings have no class '" + match.class_name->value + "'");
+      } else if (c->effect == Effect::kDeduplicated && match.key_or_any() == KeyMatch::kAbsent) {
+        fault(match.key->place, path_of(i, ".match.key"),
+              "never matches: queries of class '" + c->name + "' always carry a key");
+      }
+    }
+    if (!match.tenant || settings_.tenants.empty()) return;
+    const auto named = [&](const TenantSettings& t) { return t.name == match.tenant->value; };
+    if (std::none_of(settings_.tenants.begin(), settings_.tenants.end(), named))
+      fault(match.tenant->place, path_of(i, ".match.tenant"),
+            "the settings have no tenant '" + match.tenant->value + "'");
+  }
+
+  static std::string signature(const Match& match) {
+    const auto text = [](const Maybe<std::string>& m) { return m ? "=" + m->value : std::string("*"); };
+    std::string out = text(match.class_name) + '\n' + text(match.tenant) + '\n';
+    out += match.table ? (match.table->value.prefix ? "^" : "=") + match.table->value.text : std::string("*");
+    return out;
+  }
+
+  // Two routes that match alike: the order between them would hang on their place in the file.
+  void check_alike() {
+    std::unordered_map<std::string, const Route*> seen;
+    std::unordered_map<std::string, unsigned> keys;  // bit 0 any, 1 given, 2 absent
+    for (const Route& route : file_.routes)
+      keys[signature(route.match)] |= 1U << static_cast<unsigned>(route.match.key_or_any());
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) {
+      const Route& route = file_.routes[i];
+      const std::string match = signature(route.match);
+      const auto key = static_cast<char>('0' + static_cast<int>(route.match.key_or_any()));
+      const auto [it, fresh] = seen.try_emplace(match + '\n' + key, &route);
+      if (!fresh)
+        fault(route.place, path_of(i, ".match"),
+              "never matches: route '" + it->second->name + "', line " +
+                  std::to_string(it->second->place.line) + ", matches the same");
+      if (route.match.key_or_any() == KeyMatch::kAny && keys[match] == 7U)
+        fault(route.place, path_of(i, ".match"),
+              "never matches: routes of the same match state the key as given and as absent");
+    }
+  }
+
+  bool unconditional(const Match& match) const {
+    return !match.table && match.key_or_any() == KeyMatch::kAny;
+  }
+
+  // Routes of which other, more specific ones leave nothing.
+  void check_reach() {
+    std::unordered_set<std::string> whole;  // class \n tenant that are taken wholly by routes that state both
+    std::unordered_set<std::string> whole_classes;
+    for (const Route& route : file_.routes) {
+      if (!unconditional(route.match) || !route.match.class_name) continue;
+      if (route.match.tenant) {
+        whole.insert(route.match.class_name->value + '\n' + route.match.tenant->value);
+      } else {
+        whole_classes.insert(route.match.class_name->value);
+      }
+    }
+    const auto all_tenants_taken = [&](const std::string& class_name) {
+      return !settings_.tenants.empty() &&
+             std::all_of(settings_.tenants.begin(), settings_.tenants.end(), [&](const TenantSettings& t) {
+               return whole.count(class_name + '\n' + t.name) > 0;
+             });
+    };
+    const auto class_taken = [&](const std::string& name) {
+      return whole_classes.count(name) > 0 || all_tenants_taken(name);
+    };
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) {
+      const Match& match = file_.routes[i].match;
+      bool taken = false;
+      if (match.class_name) {
+        taken = !match.tenant && all_tenants_taken(match.class_name->value);
+      } else {
+        taken = std::all_of(settings_.classes.begin(), settings_.classes.end(), [&](const ClassSettings& c) {
+          return class_taken(c.name) ||
+                 (match.tenant && whole.count(c.name + '\n' + match.tenant->value) > 0);
+        });
+      }
+      if (taken)
+        fault(file_.routes[i].place, path_of(i, ".match"),
+              "never matches: more specific routes take all of its queries");
+    }
+  }
+
+  std::vector<const ClassSettings*> classes_of(const Match& match) const {
+    std::vector<const ClassSettings*> out;
+    for (const ClassSettings& c : settings_.classes)
+      if (!match.class_name || match.class_name->value == c.name) out.push_back(&c);
+    return out;
+  }
+
+  void check_bounds_of_defaults() {
+    check_bounds(settings_, {"defaults", &file_.defaults, file_.defaults, classes_of({})}, faults_);
+  }
+
+  void check_route(std::size_t i) {
+    const Route& route = file_.routes[i];
+    const auto like = route.like ? by_name_.find(route.like->value) : by_name_.end();
+    const Bounds* model = like == by_name_.end() ? nullptr : &like->second->bounds;
+    check_bounds(
+        settings_,
+        {path_of(i), &route.bounds, inherited(route.bounds, model, file_.defaults), classes_of(route.match)},
+        faults_);
+  }
+
+  // Further attempts of all routes together against the rule that rations them (rule 7).
+  void check_allowance() {
+    if (file_.retries) check_retries(file_.retries->value, file_.retries->place, "retries");
+    if (!settings_.rules.attempts_rationed) return;
+    double floors = 0;
+    const auto one = [&](const Bounds& bounds, const std::string& path) {
+      if (!bounds.retries) return;
+      check_retries(bounds.retries->value, bounds.retries->place, path + ".retries");
+      floors += bounds.retries->value.floor;
+    };
+    one(file_.defaults, "defaults");
+    for (std::size_t i = 0; i < file_.routes.size(); ++i) one(file_.routes[i].bounds, path_of(i));
+    if (!file_.retries && floors > settings_.rules.extra_free + 1e-9)
+      fault(first_retries(), "retries",
+            "the floors of all routes add up to " + short_number(floors) + ", over the rule's " +
+                short_number(settings_.rules.extra_free) + ": state retries over all routes");
+  }
+
+  void check_retries(const RetryShare& retries, Place place, const std::string& path) {
+    const Rules& rules = settings_.rules;
+    if (!rules.attempts_rationed) return;
+    if (retries.share > rules.extra_share + 1e-9)
+      fault(place, path + ".share",
+            "over the rule: a share of " + short_number(rules.extra_share) + " at most");
+    const auto window = static_cast<double>(std::max<TimeUs>(retries.window, 1));
+    const double windows = std::ceil(static_cast<double>(rules.extra_window) / window);
+    if (retries.floor * std::max(windows, 1.0) > rules.extra_free + 1e-9)
+      fault(place, path + ".floor",
+            "over the rule: " + short_number(rules.extra_free) + " at most in any " +
+                time_text(rules.extra_window));
+  }
+
+  Place first_retries() const {
+    if (file_.defaults.retries) return file_.defaults.retries->place;
+    for (const Route& route : file_.routes)
+      if (route.bounds.retries) return route.bounds.retries->place;
+    return {};
+  }
+
+  static bool closed(const Bounds& b) {
+    return (b.rate && b.rate->value.per_second <= 0) || (b.concurrency && b.concurrency->value.most <= 0);
+  }
+
+  // A class that no open route is left to: its queries would all be refused.
+  void check_closed() {
+    for (const ClassSettings& c : settings_.classes) {
+      bool open = false;
+      bool whole = false;  // a route takes all of the class that others leave
+      Place place;
+      std::string path;
+      const auto look = [&](const Bounds& bounds, const std::string& at) {
+        if (!closed(bounds)) {
+          open = true;
+        } else if (path.empty()) {
+          const bool by_rate = bounds.rate && bounds.rate->value.per_second <= 0;
+          place = by_rate ? bounds.rate->place : bounds.concurrency->place;
+          path = at + (by_rate ? ".rate" : ".concurrency");
+        }
+      };
+      for (std::size_t i = 0; i < file_.routes.size(); ++i) {
+        const Route& route = file_.routes[i];
+        if (!route.match.class_name || route.match.class_name->value != c.name) continue;
+        whole = whole || (unconditional(route.match) && !route.match.tenant);
+        look(effective(route), path_of(i));
+      }
+      for (std::size_t i = 0; i < file_.routes.size() && !whole; ++i)
+        if (!file_.routes[i].match.class_name) look(effective(file_.routes[i]), path_of(i));
+      if (!whole) look(file_.defaults, "defaults");
+      if (!open) fault(place, path, "closes the class '" + c.name + "': no other route lets its queries in");
+    }
+  }
+
+  Bounds effective(const Route& route) const {
+    const auto like = route.like ? by_name_.find(route.like->value) : by_name_.end();
+    return inherited(route.bounds, like == by_name_.end() ? nullptr : &like->second->bounds, file_.defaults);
+  }
+
+  const Settings& settings_;
+  const LimitFile& file_;
+  std::size_t routes_most_;
+  std::unordered_map<std::string, const Route*> by_name_;
+  std::vector<Fault> faults_;
+};
+
+}  // namespace
+
+std::vector<Fault> check(const Settings& settings, const LimitFile& file, std::size_t routes_most) {
+  return Checker(settings, file, routes_most).run();
+}
+
+}  // namespace orchidgw::limits
--- /dev/null
+++ b/src/limits/check_bounds.cpp
@@ -0,0 +1,173 @@
+#include "limits/check_bounds.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace orchidgw::limits {
+namespace {
+
+constexpr std::pair<OutcomeKind, const char*> kMayHaveRun[] = {
+    {OutcomeKind::kError, "error"}, {OutcomeKind::kTimeout, "timeout"}, {OutcomeKind::kReset, "reset"}};
+
+class BoundsChecker {
+ public:
+  BoundsChecker(const Settings& settings, const RouteToCheck& route, std::vector<Fault>& faults)
+      : settings_(settings), route_(route), own_(*route.own), whole_(route.whole), faults_(faults) {}
+
+  void run() {
+    check_times();
+    check_attempts();
+    check_second_copy();
+    check_keyed();
+    check_unsafe();
+    check_admission();
+  }
+
+ private:
+  template <typename T>
+  void fault(const Maybe<T>& at, const char* field, std::string why) {
+    faults_.push_back({at->place, route_.path + "." + field, std::move(why)});
+  }
+
+  bool copies() const {
+    return whole_.second_copy && whole_.second_copy->value.when != SecondCopy::When::kNever;
+  }
+  bool further() const { return !whole_.attempts || whole_.attempts->value > 1; }
+
+  TimeUs longest_deadline() const {
+    TimeUs longest = 0;
+    for (const ClassSettings* c : route_.classes) longest = std::max(longest, c->deadline);
+    return longest;
+  }
+
+  // No client waits so long: the limit could never act.
+  template <typename T>
+  void within_deadline(const Maybe<T>& time, const char* field) {
+    const TimeUs longest = longest_deadline();
+    if (time && longest > 0 && time->value > longest)
+      fault(time, field, "longer than the clients' deadline of " + time_text(longest));
+  }
+
+  void check_times() {
+    within_deadline(own_.timeout, "timeout");
+    within_deadline(own_.attempt_timeout, "attempt_timeout");
+    within_deadline(own_.longest_hold, "longest_hold");
+    if (!whole_.timeout) return;
+    const TimeUs whole = whole_.timeout->value;
+    const auto below = [&](const Maybe<TimeUs>& part, const Maybe<TimeUs>& stated, const char* field) {
+      if (!part || part->value < whole) return;
+      const auto& at = stated ? stated : own_.timeout;
+      if (at) fault(at, stated ? field : "timeout", std::string(field) + " is not shorter than the timeout");
+    };
+    below(whole_.attempt_timeout, own_.attempt_timeout, "attempt_timeout");
+    below(whole_.longest_hold, own_.longest_hold, "longest_hold");
+  }
+
+  void check_attempts() {
+    if (own_.attempts && own_.attempts->value > settings_.limits.max_attempts)
+      fault(own_.attempts, "attempts",
+            "over the settings' most of " + std::to_string(settings_.limits.max_attempts));
+    if (own_.back_off) {
+      const BackOff& b = own_.back_off->value;
+      if (b.first > b.most) fault(own_.back_off, "back_off.first", "longer than back_off.most");
+      const TimeUs whole = whole_.timeout ? whole_.timeout->value : longest_deadline();
+      if (whole > 0 && b.first >= whole)
+        fault(own_.back_off, "back_off.first", "no other attempt could begin within " + time_text(whole));
+      if (!further()) fault(own_.back_off, "back_off", "has no effect: there is one attempt only");
+    }
+    if (own_.retry_on && !further())
+      fault(own_.retry_on, "retry_on", "has no effect: there is one attempt only");
+    if (own_.retries && !further())
+      fault(own_.retries, "retries", "has no effect: there is one attempt only");
+  }
+
+  void check_second_copy() {
+    if (!copies()) return;
+    const auto& at = own_.second_copy ? own_.second_copy : whole_.second_copy;
+    const bool mine = own_.second_copy.has_value();
+    if (mine && !settings_.limits.second_copies)
+      fault(at, "second_copy", "the settings forbid two attempts in flight");
+    if (!further()) fault(at, "second_copy", "has no effect: there is one attempt only");
+    for (const ClassSettings* c : route_.classes) {
+      if (c->effect == Effect::kAtMostOnce)
+        fault(at, "second_copy", "the class '" + c->name + "' forbids repeats");
+      if (c->in_order) fault(at, "second_copy", "the class '" + c->name + "' keeps an order: no copies");
+    }
+    const SecondCopy& copy = at->value;
+    if (!mine) return;
+    if (copy.when == SecondCopy::When::kDelay && whole_.timeout && copy.delay >= whole_.timeout->value)
+      fault(at, "second_copy.after", "not before the timeout");
+    if (copy.when == SecondCopy::When::kDelay && copy.delay >= longest_deadline() && longest_deadline() > 0)
+      fault(at, "second_copy.after", "not before the clients' deadline");
+    if (copy.at_most > 0 && copy.at_least > copy.at_most)
+      fault(at, "second_copy.at_least", "longer than second_copy.at_most");
+  }
+
+  // A keyed query that may have run is repeated only within its key's window.
+  void check_keyed() {
+    for (const ClassSettings* c : route_.classes) {
+      if (c->effect != Effect::kDeduplicated || !further()) continue;
+      const std::string window = " the window of " + time_text(c->repeat_window) +
+                                 " in which engines drop repeats of class '" + c->name + "'";
+      if (own_.back_off && own_.back_off->value.first >= c->repeat_window)
+        fault(own_.back_off, "back_off.first", "another attempt would come after" + window);
+      if (own_.attempt_timeout && own_.attempt_timeout->value >= c->repeat_window)
+        fault(own_.attempt_timeout, "attempt_timeout", "another attempt would come after" + window);
+      if (!own_.second_copy) continue;
+      const SecondCopy& copy = own_.second_copy->value;
+      if (copy.when == SecondCopy::When::kDelay && copy.delay >= c->repeat_window)
+        fault(own_.second_copy, "second_copy.after", "the copy would come after" + window);
+      if (copy.when == SecondCopy::When::kQuantile && (copy.at_most == 0 || copy.at_most >= c->repeat_window))
+        fault(own_.second_copy, "second_copy.at_most", "needed, below" + window);
+      if (copy.when != SecondCopy::When::kNever && c->repeat_scope != RepeatScope::kAll)
+        fault(own_.second_copy, "second_copy",
+              "engines drop repeats of class '" + c->name + "' only within a part of the fleet");
+    }
+  }
+
+  void check_unsafe() {
+    if (!own_.retry_on || !further()) return;
+    for (const ClassSettings* c : route_.classes) {
+      if (c->effect != Effect::kAtMostOnce) continue;
+      for (const auto& [kind, name] : kMayHaveRun)
+        if (own_.retry_on->value.has(kind))
+          fault(own_.retry_on, "retry_on",
+                std::string("the class '") + c->name + "' forbids repeats: after '" + name +
+                    "' it may have run");
+    }
+  }
+
+  void check_admission() {
+    if (own_.concurrency && own_.concurrency->value.least > own_.concurrency->value.most)
+      fault(own_.concurrency, "concurrency.least", "above concurrency.most");
+    if (own_.line && !whole_.rate && !whole_.concurrency)
+      fault(own_.line, "line", "has no effect: neither a rate nor a concurrency is stated");
+  }
+
+  const Settings& settings_;
+  const RouteToCheck& route_;
+  const Bounds& own_;
+  const Bounds& whole_;
+  std::vector<Fault>& faults_;
+};
+
+}  // namespace
+
+void check_bounds(const Settings& settings, const RouteToCheck& route, std::vector<Fault>& faults) {
+  BoundsChecker(settings, route, faults).run();
+}
+
+std::string short_number(double number) {
+  std::ostringstream out;
+  out << number;
+  return out.str();
+}
+
+std::string time_text(TimeUs time) {
+  if (time % 1'000'000 == 0) return std::to_string(time / 1'000'000) + "s";
+  if (time % 1'000 == 0) return std::to_string(time / 1'000) + "ms";
+  return std::to_string(time) + "us";
+}
+
+}  // namespace orchidgw::limits
--- /dev/null
+++ b/src/limits/route_state.h
@@ -0,0 +1,41 @@
+// What is counted for one route: carried over to a new file where the route's name stays.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "limits/adaptive_bound.h"
+#include "limits/latency_quantiles.h"
+#include "limits/retry_budget.h"
+#include "limits/token_bucket.h"
+
+namespace orchidgw::limits {
+
+struct RouteState {
+  std::string name;
+  std::uint64_t serial = 0;  // unique for the life of the program: an order that is the same in every run
+  int under_way = 0;         // queries let in that still have something anywhere
+  std::optional<Rate> rate;
+  std::optional<TokenBucket> bucket;
+  std::optional<Concurrency> concurrency;
+  std::optional<AdaptiveBound> adaptive;
+  std::optional<RetryBudget> retries;
+  int line_most = kLineUnlessStated;
+  std::deque<QueryId> line;  // those that wait, first come first; ids that are over are skipped
+  int waiting = 0;           // of them, those that do wait
+  TimeUs wakes_at = 0;       // when the line is looked at next; 0: not by time alone
+  double usual_time = 0;     // us a query is under way, fading mean: for wait estimates
+  // Numbers for operators.
+  std::uint64_t let_in = 0, held = 0, refused = 0;
+
+  bool closed() const { return (rate && rate->per_second <= 0) || (concurrency && concurrency->most <= 0); }
+  int place_most() const { return adaptive ? adaptive->bound() : concurrency ? concurrency->most : 0; }
+  bool place_free() const { return !concurrency || under_way < place_most(); }
+  bool token_ready(TimeUs now) const { return !bucket || bucket->ready(now); }
+};
+
+// Brings a state to the terms of a file; what was counted stays where its kind of limit stays.
+void set_terms(RouteState& state, TimeUs now, const Bounds& bounds);
+
+}  // namespace orchidgw::limits
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -34,6 +34,11 @@
   line(out, "queries.rejected", c.rejected);
   line(out, "queries.aborted", c.aborted);
   line(out, "queries.open", c.open_queries);
+  line(out, "queries.waiting", c.waiting_queries);
+  for (std::size_t i = 0; i < c.refusals.size(); ++i) {
+    if (c.refusals[i] == 0) continue;
+    out << "counter queries.refused." << name_of(static_cast<Reason>(i)) << ' ' << c.refusals[i] << '\n';
+  }
   line(out, "attempts.sent", c.sent);
   for (std::size_t i = 0; i < c.outcomes.size(); ++i) {
     out << "counter attempts." << core::name_of(static_cast<OutcomeKind>(i)) << ' ' << c.outcomes[i] << '\n';
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <ostream>
 
+#include "base/reason.h"
 #include "core/connection_end.h"
 #include "decision/decision.h"
 
@@ -45,6 +46,8 @@
   std::uint64_t rejected = 0;  // could not be taken: answered by the protocol alone
   std::uint64_t aborted = 0;   // the client gave it up or left
   Level open_queries;
+  Level waiting_queries;                           // for their turn under the operators' limits
+  std::array<std::uint64_t, kReasons> refusals{};  // by reason
   // Attempts and calls.
   std::uint64_t sent = 0;
   std::array<std::uint64_t, kOutcomes> outcomes{};
--- /dev/null
+++ b/src/operator_file/fields.cpp
@@ -0,0 +1,152 @@
+#include "operator_file/fields.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace orchidgw::operator_file {
+namespace {
+
+constexpr TimeUs kTimeMost = 3'600'000'000;
+constexpr std::size_t kWordMost = 200;
+
+// A decimal number without sign, exponent or white space.
+std::optional<double> plain_number(std::string_view text) {
+  if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos) return std::nullopt;
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::string number_text(double number) {
+  std::string text = std::to_string(number);
+  text.erase(text.find_last_not_of('0') + 1);
+  if (text.back() == '.') text.pop_back();
+  return text;
+}
+
+}  // namespace
+
+std::optional<TimeUs> to_time(const Node& node) {
+  if (node.kind != Node::Kind::kScalar) return std::nullopt;
+  constexpr std::pair<std::string_view, double> kUnits[] = {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"m", 60e6}};
+  const std::string_view text = node.text;
+  const auto digits = std::min(text.find_first_not_of("0123456789."), text.size());
+  for (const auto& [unit, us] : kUnits) {
+    if (text.substr(digits) != unit) continue;
+    const auto number = plain_number(text.substr(0, digits));
+    if (!number || *number * us > static_cast<double>(kTimeMost)) return std::nullopt;
+    return static_cast<TimeUs>(std::llround(*number * us));
+  }
+  return std::nullopt;
+}
+
+std::optional<double> to_number(const Node& node) {
+  if (node.kind != Node::Kind::kScalar || node.quoted) return std::nullopt;
+  return plain_number(node.text);
+}
+
+std::optional<double> to_share(const Node& node) {
+  if (node.kind != Node::Kind::kScalar) return std::nullopt;
+  if (!node.text.ends_with('%')) return to_number(node);
+  const auto number = plain_number(std::string_view(node.text).substr(0, node.text.size() - 1));
+  return number ? std::optional(*number / 100) : std::nullopt;
+}
+
+std::optional<int> to_count(const Node& node) {
+  if (node.kind != Node::Kind::kScalar || node.quoted) return std::nullopt;
+  int value = 0;
+  const char* last = node.text.data() + node.text.size();
+  const auto [end, error] = std::from_chars(node.text.data(), last, value);
+  if (error != std::errc() || end != last || value < 0 || node.text[0] == '-') return std::nullopt;
+  return value;
+}
+
+Fields::Fields(const Node& node, std::string path, std::vector<Fault>& faults)
+    : node_(node), path_(std::move(path)), faults_(faults) {
+  if (!is_map()) faults_.push_back({node.place, path_, "a map of fields is wanted"});
+}
+
+const Node* Fields::find(const char* key) {
+  known_.push_back(key);
+  if (!is_map()) return nullptr;
+  for (const auto& [name, value] : node_.members) {
+    if (name.text != key) continue;
+    if (value.kind != Node::Kind::kNull) return &value;
+    fault(name, key, "the field has no value");
+    return nullptr;
+  }
+  return nullptr;
+}
+
+const Node* Fields::need(const char* key) {
+  const std::size_t before = faults_.size();
+  const Node* node = find(key);
+  if (node == nullptr && is_map() && faults_.size() == before) fault(node_, key, "missing");
+  return node;
+}
+
+void Fields::fault(const Node& at, const std::string& key, std::string why) {
+  const std::string path = path_.empty() || key.empty() ? path_ + key : path_ + "." + key;
+  faults_.push_back({at.place, path, std::move(why)});
+}
+
+void Fields::time(const char* key, limits::Maybe<TimeUs>& to, TimeUs least) {
+  const Node* node = find(key);
+  if (node == nullptr) return;
+  const auto value = to_time(*node);
+  if (!value)
+    return fault(*node, key, "a time with its unit is wanted, like 250ms, 2s or 5m, an hour at most");
+  if (*value < least) return fault(*node, key, "a time above 0 is wanted");
+  to = {*value, node->place};
+}
+
+void Fields::count(const char* key, limits::Maybe<int>& to, int least, int most) {
+  const Node* node = find(key);
+  if (node == nullptr) return;
+  const auto value = to_count(*node);
+  if (!value || *value < least || *value > most)
+    return fault(
+        *node, key,
+        "a whole number from " + std::to_string(least) + " to " + std::to_string(most) + " is wanted");
+  to = {*value, node->place};
+}
+
+void Fields::number(const char* key, limits::Maybe<double>& to, double least, double most) {
+  const Node* node = find(key);
+  if (node == nullptr) return;
+  const auto value = to_number(*node);
+  if (!value || *value < least || *value > most)
+    return fault(*node, key,
+                 "a number from " + number_text(least) + " to " + number_text(most) + " is wanted");
+  to = {*value, node->place};
+}
+
+void Fields::share(const char* key, limits::Maybe<double>& to) {
+  const Node* node = find(key);
+  if (node == nullptr) return;
+  const auto value = to_share(*node);
+  if (!value || *value > 1) return fault(*node, key, "a share is wanted: 0 to 1, or 0% to 100%");
+  to = {*value, node->place};
+}
+
+void Fields::word(const char* key, limits::Maybe<std::string>& to) {
+  const Node* node = find(key);
+  if (node == nullptr) return;
+  if (node->kind != Node::Kind::kScalar || node->text.empty() || node->text.size() > kWordMost)
+    return fault(*node, key, "a word of 1 to 200 bytes is wanted");
+  to = {node->text, node->place};
+}
+
+void Fields::finish() {
+  if (!is_map()) return;
+  for (const auto& [key, value] : node_.members) {
+    const bool known =
+        std::any_of(known_.begin(), known_.end(), [&](const char* k) { return key.text == k; });
+    if (!known) fault(key, key.text, "unknown field");
+  }
+}
+
+}  // namespace orchidgw::operator_file
--- /dev/null
+++ b/src/operator_file/fields.h
@@ -0,0 +1,47 @@
+// Typed reading of one YAML map: every complaint names the place, the path and what is wanted. A field that
+// is wrong is left unset, and reading goes on: all faults of a file are reported.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "operator_file/yaml_tree.h"
+
+namespace orchidgw::operator_file {
+
+class Fields {
+ public:
+  // Complains where `node` is no map.
+  Fields(const Node& node, std::string path, std::vector<Fault>& faults);
+
+  bool is_map() const { return node_.kind == Node::Kind::kMap; }
+  const std::string& path() const { return path_; }
+  Place place() const { return node_.place; }
+
+  const Node* find(const char* key);  // null where it is absent; counts as known from then on
+  const Node* need(const char* key);  // complains where it is absent
+
+  void time(const char* key, limits::Maybe<TimeUs>& to, TimeUs least = 1);
+  void count(const char* key, limits::Maybe<int>& to, int least, int most);
+  void number(const char* key, limits::Maybe<double>& to, double least, double most);
+  void share(const char* key, limits::Maybe<double>& to);  // 0 to 1, or 0% to 100%
+  void word(const char* key, limits::Maybe<std::string>& to);
+
+  // Complains of every key that was not asked for.
+  void finish();
+  void fault(const Node& at, const std::string& key, std::string why);
+
+ private:
+  const Node& node_;
+  std::string path_;
+  std::vector<Fault>& faults_;
+  std::vector<const char*> known_;
+};
+
+// Values of one node; nothing where it is no such value.
+std::optional<TimeUs> to_time(const Node& node);    // a number with us, ms, s or m; up to an hour
+std::optional<double> to_number(const Node& node);  // a plain decimal number
+std::optional<double> to_share(const Node& node);   // as above, or with %
+std::optional<int> to_count(const Node& node);      // a plain whole number
+
+}  // namespace orchidgw::operator_file
--- /dev/null
+++ b/src/operator_file/loader.cpp
@@ -0,0 +1,73 @@
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+#include "operator_file/operator_file.h"
+#include "operator_file/yaml_tree.h"
+
+namespace orchidgw::operator_file {
+namespace {
+
+constexpr int kReadings = 5;  // of a file that changes meanwhile
+
+class Descriptor {
+ public:
+  explicit Descriptor(int fd) : fd_(fd) {}
+  ~Descriptor() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int get() const { return fd_; }
+
+ private:
+  int fd_;
+};
+
+[[noreturn]] void fail(const std::string& path, const std::string& why) {
+  throw std::runtime_error(path + ": " + why);
+}
+
+bool same(const struct stat& a, const struct stat& b) {
+  return a.st_dev == b.st_dev && a.st_ino == b.st_ino && a.st_size == b.st_size &&
+         a.st_mtim.tv_sec == b.st_mtim.tv_sec && a.st_mtim.tv_nsec == b.st_mtim.tv_nsec;
+}
+
+std::string read_all(const std::string& path, int fd, std::size_t most) {
+  std::string text;
+  char bytes[16384];
+  while (text.size() <= most) {
+    const ssize_t n = ::read(fd, bytes, sizeof bytes);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) fail(path, std::strerror(errno));
+    if (n == 0) break;
+    text.append(bytes, static_cast<std::size_t>(n));
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string load_text(const std::string& path) {
+  for (int reading = 0; reading < kReadings; ++reading) {
+    // Not blocking: a pipe of that name must not hold up the loop.
+    const Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK));
+    if (file.get() < 0) fail(path, std::strerror(errno));
+    struct stat before {};
+    struct stat after {};
+    struct stat named {};
+    if (::fstat(file.get(), &before) != 0) fail(path, std::strerror(errno));
+    if (!S_ISREG(before.st_mode)) fail(path, "not a plain file");
+    std::string text = read_all(path, file.get(), kBytesMost);
+    if (::fstat(file.get(), &after) != 0) fail(path, std::strerror(errno));
+    if (::stat(path.c_str(), &named) != 0) continue;  // between two files: look again
+    if (same(before, after) && same(after, named)) return text;
+  }
+  fail(path, "it changed each time while it was read");
+}
+
+}  // namespace orchidgw::operator_file
--- /dev/null
+++ b/src/operator_file/operator_file.h
@@ -0,0 +1,44 @@
+// The operators' file: limits by route, and the log. Read from YAML strictly; every fault names its line.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "limits/route.h"
+
+namespace orchidgw::operator_file {
+
+inline constexpr int kFormatVersion = 1;
+inline constexpr std::size_t kFaultsMost = 100;  // reported of one file
+
+// What the file says of the log; empty: as the command line and the environment say.
+struct LogChoice {
+  std::string level;
+  std::string format;
+  std::map<std::string, std::string> components;  // level by component
+};
+
+struct OperatorFile {
+  LogChoice log;
+  limits::LimitFile limits;
+};
+
+struct ReadFile {
+  OperatorFile file;
+  std::vector<limits::Fault> faults;  // none: the file may be checked
+};
+
+// Reads a text, of whatever form: it never throws on one.
+ReadFile read_operator_file(std::string_view text);
+
+// The file at `path`, whole and from one moment. Guards against a file that is replaced or written to while
+// it is read: such a reading is begun anew, a few times, then refused. Throws std::runtime_error with a clear
+// reason.
+std::string load_text(const std::string& path);
+
+// "FILE:LINE:COLUMN: PATH: why"; a file without a line has the fault as a whole.
+std::string fault_line(const std::string& path, const limits::Fault& fault);
+
+}  // namespace orchidgw::operator_file
--- /dev/null
+++ b/src/operator_file/yaml_tree.cpp
@@ -0,0 +1,201 @@
+#include "operator_file/yaml_tree.h"
+
+#include <yaml-cpp/anchor.h>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include <istream>
+#include <streambuf>
+#include <unordered_set>
+
+namespace orchidgw::operator_file {
+namespace {
+
+Place place_of(const YAML::Mark& mark) { return {mark.line + 1, mark.column + 1}; }
+
+// Stops the parser: what follows could only mislead.
+struct Stop {};
+
+// Reads a text where it stands.
+class TextBuffer final : public std::streambuf {
+ public:
+  explicit TextBuffer(std::string_view text) {
+    char* begin = const_cast<char*>(text.data());  // a get area is never written to
+    setg(begin, begin, begin + text.size());
+  }
+};
+
+class TreeBuilder final : public YAML::EventHandler {
+ public:
+  explicit TreeBuilder(std::vector<Fault>& faults) : faults_(faults) {}
+
+  Node take() { return std::move(root_); }
+
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override {
+    Node node = node_at(mark, Node::Kind::kNull, "", anchor);
+    put(std::move(node));
+  }
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { stop(mark, "aliases are not taken"); }
+  void OnScalar(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                const std::string& value) override {
+    Node node = node_at(mark, Node::Kind::kScalar, tag, anchor);
+    node.quoted = tag == "!";
+    node.text = value;
+    if (!node.quoted && (value == "~" || value == "null")) node.kind = Node::Kind::kNull;
+    put(std::move(node));
+  }
+  void OnSequenceStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                       YAML::EmitterStyle::value) override {
+    open_.push_back({node_at(mark, Node::Kind::kSequence, tag, anchor), {}, {}, false});
+    check_depth(mark);
+  }
+  void OnSequenceEnd() override { close(); }
+  void OnMapStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                  YAML::EmitterStyle::value) override {
+    open_.push_back({node_at(mark, Node::Kind::kMap, tag, anchor), {}, {}, false});
+    check_depth(mark);
+  }
+  void OnMapEnd() override { close(); }
+
+ private:
+  struct Open {
+    Node node;
+    Node key;  // of a map: the one whose value comes next
+    std::unordered_set<std::string> keys;
+    bool has_key = false;
+  };
+
+  [[noreturn]] void stop(const YAML::Mark& mark, const char* why) {
+    faults_.push_back({place_of(mark), "", why});
+    throw Stop{};
+  }
+
+  // Guards against anchors that expand without end, and tags that change what a value is.
+  Node node_at(const YAML::Mark& mark, Node::Kind kind, const std::string& tag, YAML::anchor_t anchor) {
+    if (anchor != 0) stop(mark, "anchors are not taken");
+    if (!tag.empty() && tag != "?" && tag != "!") stop(mark, "tags are not taken");
+    if (++nodes_ > kNodesMost) stop(mark, "too many values");
+    Node node;
+    node.kind = kind;
+    node.place = place_of(mark);
+    return node;
+  }
+
+  void check_depth(const YAML::Mark& mark) {
+    if (open_.size() > kDepthMost) stop(mark, "nested too deeply");
+  }
+
+  void close() {
+    Node node = std::move(open_.back().node);
+    open_.pop_back();
+    put(std::move(node));
+  }
+
+  void put(Node node) {
+    if (open_.empty()) {
+      root_ = std::move(node);
+      return;
+    }
+    Open& open = open_.back();
+    if (open.node.kind == Node::Kind::kSequence) {
+      open.node.items.push_back(std::move(node));
+    } else if (!open.has_key) {
+      take_key(open, std::move(node));
+    } else {
+      open.node.members.emplace_back(std::move(open.key), std::move(node));
+      open.has_key = false;
+    }
+  }
+
+  void take_key(Open& open, Node key) {
+    if (key.kind != Node::Kind::kScalar) {
+      faults_.push_back({key.place, "", "a key must be a word"});
+    } else if (!open.keys.insert(key.text).second) {
+      faults_.push_back({key.place, "", "the key '" + key.text + "' stands here twice"});
+    }
+    open.key = std::move(key);
+    open.has_key = true;
+  }
+
+  std::vector<Fault>& faults_;
+  std::vector<Open> open_;
+  Node root_;
+  std::size_t nodes_ = 0;
+};
+
+Place place_at(std::string_view text, std::size_t at) {
+  Place place{1, 1};
+  for (std::size_t i = 0; i < at; ++i) {
+    ++place.column;
+    if (text[i] == '\n') place = {place.line + 1, 1};
+  }
+  return place;
+}
+
+// The first byte that is no UTF-8 (RFC 3629) or no text; npos: all is well.
+std::size_t first_bad_byte(std::string_view text) {
+  std::size_t i = 0;
+  while (i < text.size()) {
+    const auto c = static_cast<unsigned char>(text[i]);
+    if (c < 0x80) {
+      if ((c < 0x20 && c != '\n' && c != '\r' && c != '\t') || c == 0x7f) return i;
+      ++i;
+      continue;
+    }
+    const std::size_t length = c >= 0xf0 && c <= 0xf4 ? 4 : c >= 0xe0 ? 3 : c >= 0xc2 && c < 0xe0 ? 2 : 0;
+    if (length == 0 || c > 0xf4 || i + length > text.size()) return i;
+    unsigned point = c & (0xffU >> (length + 1));
+    for (std::size_t k = 1; k < length; ++k) {
+      const auto next = static_cast<unsigned char>(text[i + k]);
+      if ((next & 0xc0) != 0x80) return i;
+      point = point << 6 | (next & 0x3f);
+    }
+    const bool overlong = (length == 3 && point < 0x800) || (length == 4 && point < 0x10000);
+    if (overlong || point > 0x10ffff || (point >= 0xd800 && point <= 0xdfff)) return i;
+    i += length;
+  }
+  return std::string_view::npos;
+}
+
+// Guards against a file that is read while it is being written: a part of one may be whole YAML too.
+bool has_end_marker(std::string_view text) {
+  while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' '))
+    text.remove_suffix(1);
+  return text == "..." || text.ends_with("\n...");
+}
+
+bool fit_to_parse(std::string_view text, std::vector<Fault>& faults) {
+  if (text.size() > kBytesMost) {
+    faults.push_back({{1, 1}, "", "over 1 MiB"});
+  } else if (const auto bad = first_bad_byte(text); bad != std::string_view::npos) {
+    faults.push_back({place_at(text, bad), "", "not a text in UTF-8"});
+  } else if (!has_end_marker(text)) {
+    faults.push_back({place_at(text, text.size()), "", "half a file: the line '...' at its end is missing"});
+  }
+  return faults.empty();
+}
+
+}  // namespace
+
+Node parse_yaml(std::string_view text, std::vector<Fault>& faults) {
+  if (!fit_to_parse(text, faults)) return {};
+  TextBuffer buffer(text);
+  std::istream in(&buffer);
+  TreeBuilder builder(faults);
+  try {
+    YAML::Parser parser(in);
+    parser.HandleNextDocument(builder);
+    Node root = builder.take();
+    if (parser.HandleNextDocument(builder)) faults.push_back({{1, 1}, "", "more than one document"});
+    return root;
+  } catch (const Stop&) {
+  } catch (const YAML::Exception& e) {
+    faults.push_back({place_of(e.mark), "", "no YAML: " + e.msg});
+  }
+  return {};
+}
+
+}  // namespace orchidgw::operator_file
