Command line on CLI11, structured logs on spdlog, both files loaded and checked as one

Need: check and explain commands for operators; logs in fields, as text or JSON, that never hold up the loop.

--- /dev/null
+++ b/src/cli/command_line.cpp
@@ -0,0 +1,67 @@
+#include "cli/command_line.h"
+
+#include <CLI/CLI.hpp>
+
+namespace orchidgw::cli {
+namespace {
+
+constexpr const char* kAbout =
+    "orchidgw: a query gateway. It decides which query runs, on which engine, with how much memory, and "
+    "which\n"
+    "is better refused early. Without a command it serves.";
+constexpr const char* kFooter =
+    "For each option a flag comes before the environment, and that before the files.\n"
+    "Exit codes: 0 good, 1 bad (each fault on a line of its own), 2 usage.";
+
+void add_files(CLI::App& app, configuration::Sources& to) {
+  app.add_option("--config", to.config, "the platform's configuration, JSON")->envname("BALANCER_CONFIG");
+  app.add_option("--limits", to.limits,
+                 "the operators' file, YAML (else 'operatorFile' of the configuration)")
+      ->envname("ORCHIDGW_LIMITS");
+}
+
+void add_log(CLI::App& app, configuration::Sources& to) {
+  app.add_option("--log-level", to.log_level, "error, warn, info or debug")->envname("ORCHIDGW_LOG");
+  app.add_option("--log-format", to.log_format, "text or json")
+      ->envname("ORCHIDGW_LOG_FORMAT")
+      ->check(CLI::IsMember({"text", "json"}));
+}
+
+}  // namespace
+
+std::optional<CommandLine> parse(int argc, const char* const* argv, int& exit_code) {
+  CommandLine out;
+  CLI::App app(kAbout, "orchidgw");
+  app.footer(kFooter);
+  app.require_subcommand(0, 1);
+  add_files(app, out.sources);
+  add_log(app, out.sources);
+  CLI::App* serve =
+      app.add_subcommand("serve", "serve until told to stop (SIGTERM); what no command does, too");
+  add_files(*serve, out.sources);
+  add_log(*serve, out.sources);
+  CLI::App* check =
+      app.add_subcommand("check", "check both files as a start or a reload would, and say all faults");
+  add_files(*check, out.sources);
+  CLI::App* explain = app.add_subcommand(
+      "explain",
+      "print the limits that hold for one kind of query, each with the line, setting or rule that set it");
+  add_files(*explain, out.sources);
+  explain->add_option("--class", out.explain.class_name, "its class, as the settings name it")->required();
+  explain->add_option("--tenant", out.explain.tenant, "its tenant");
+  explain->add_option("--table", out.explain.table, "the first table of its statement, like sales_17.orders");
+  explain->add_flag("--key", out.explain.keyed, "it carries an idempotency key");
+  CLI::App* version = app.add_subcommand("version", "print the version");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    exit_code = app.exit(e) == 0 ? kGood : kUsage;
+    return std::nullopt;
+  }
+  if (check->parsed()) out.command = CommandLine::Command::kCheck;
+  if (explain->parsed()) out.command = CommandLine::Command::kExplain;
+  if (version->parsed()) out.command = CommandLine::Command::kVersion;
+  return out;
+}
+
+}  // namespace orchidgw::cli
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,14 @@
+// The commands that only read and tell: check, explain, version. Each returns the exit code.
+#pragma once
+
+#include <ostream>
+
+#include "cli/command_line.h"
+
+namespace orchidgw::cli {
+
+int run_check(const configuration::Sources& sources, std::ostream& out, std::ostream& err);
+int run_explain(const CommandLine& line, std::ostream& out, std::ostream& err);
+int run_version(std::ostream& out);
+
+}  // namespace orchidgw::cli
--- a/src/config/controller_config.cpp
+++ b/src/config/controller_config.cpp
@@ -63,14 +63,14 @@
   const Value* settings = find(document, "settings");
   if (!settings || !settings->IsObject()) wrong("settings", "an object is needed");
   config.settings = read_settings(*settings);
+  config.operator_file = text_in(document, "operatorFile", "");
   const Value& policy = object_in(*settings, "policyLimits");
   config.connect_timeout = integer_in(policy, "connectTimeout", kConnectTimeoutUnlessTold);
   return config;
 }
 
-ControllerConfig load_controller_config() {
-  const char* path = std::getenv("BALANCER_CONFIG");
-  if (!path) wrong("BALANCER_CONFIG", "the path of the configuration is needed");
+ControllerConfig load_controller_config(const std::string& path) {
+  if (path.empty()) wrong("BALANCER_CONFIG", "the path of the configuration is needed");
   std::ifstream file(path, std::ios::binary);
   if (!file) wrong("BALANCER_CONFIG", "the file can't be read");
   std::ostringstream text;
@@ -80,9 +80,4 @@
   return config;
 }
 
-Reloadable load_reloadable() {
-  ControllerConfig config = load_controller_config();
-  return {std::move(config.change_log), std::move(config.known)};
-}
-
 }  // namespace orchidgw::config
--- a/src/config/controller_config.h
+++ b/src/config/controller_config.h
@@ -20,20 +20,11 @@
   FleetChanges known;
   Settings settings;
   TimeUs connect_timeout = 0;
+  std::string operator_file;  // the path of the operators' file; empty: none is named here
 };
 
 // Throws FieldError naming the field.
 ControllerConfig parse_controller_config(const std::string& text);
-ControllerConfig load_controller_config();  // from the environment
-
-// What a reload may change; all else stays as it was at the start.
-struct Reloadable {
-  core::Address change_log;
-  FleetChanges known;
-};
-
-// Reads the whole configuration and throws as it does: a file that is wrong anywhere is not taken over in
-// part.
-Reloadable load_reloadable();
+ControllerConfig load_controller_config(const std::string& path);  // with the environment's name and address
 
 }  // namespace orchidgw::config
--- /dev/null
+++ b/src/configuration/configuration.cpp
@@ -0,0 +1,59 @@
+#include "configuration/configuration.h"
+
+#include <utility>
+
+#include "limits/check.h"
+#include "operator_file/operator_file.h"
+
+namespace orchidgw::configuration {
+namespace {
+
+constexpr std::size_t kRoutesPerMb =
+    100;  // a route with its state takes up to 2 KB: 20% of the memory at most
+
+int last_version = 0;  // of the limits that were read, in this process
+
+log::Choice log_choice(const Sources& sources, const operator_file::LogChoice& file) {
+  log::Choice choice;
+  const std::string& level = sources.log_level.empty() ? file.level : sources.log_level;
+  const std::string& format = sources.log_format.empty() ? file.format : sources.log_format;
+  choice.level = log::level_named(level, log::Level::kInfo);
+  choice.format = format == "json" ? log::Format::kJson : log::Format::kText;
+  for (const auto& [name, word] : file.components)
+    if (const auto component = log::component_named(name))
+      choice.components[static_cast<std::size_t>(*component)] = log::level_named(word, choice.level);
+  return choice;
+}
+
+[[noreturn]] void refuse(const std::string& path, const std::vector<limits::Fault>& faults) {
+  std::vector<std::string> lines;
+  for (const limits::Fault& fault : faults) {
+    if (lines.size() >= operator_file::kFaultsMost) break;
+    lines.push_back(operator_file::fault_line(path, fault));
+  }
+  throw ConfigurationError(std::move(lines));
+}
+
+}  // namespace
+
+std::size_t routes_most(std::int64_t memory_mb) { return static_cast<std::size_t>(memory_mb) * kRoutesPerMb; }
+
+Configuration load(const Sources& sources, const Settings* running) {
+  Configuration out;
+  out.controller = config::load_controller_config(sources.config);
+  const std::string path = sources.limits.empty() ? out.controller.operator_file : sources.limits;
+  if (path.empty()) {
+    out.log = log_choice(sources, {});
+    return out;
+  }
+  operator_file::ReadFile read = operator_file::read_operator_file(operator_file::load_text(path));
+  if (!read.faults.empty()) refuse(path, read.faults);
+  const Settings& settings = running != nullptr ? *running : out.controller.settings;
+  const auto faults = limits::check(settings, read.file.limits, routes_most(out.controller.memory_mb));
+  if (!faults.empty()) refuse(path, faults);
+  out.limits = std::make_shared<const limits::LimitSet>(settings, read.file.limits, ++last_version);
+  out.log = log_choice(sources, read.file.log);
+  return out;
+}
+
+}  // namespace orchidgw::configuration
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,45 +1,75 @@
-// orchidgw: the real controller. Reads its configuration, opens its address, serves until it is told to stop.
+// orchidgw: the real controller and its commands. Reads its configuration, opens its address, serves until it
+// is told to stop.
+#include <unistd.h>
+
 #include <cerrno>
-#include <cstdlib>
 #include <cstring>
 #include <exception>
 #include <iostream>
+#include <ostream>
 #include <string>
 
-#include "config/controller_config.h"
+#include "cli/command_line.h"
+#include "cli/commands.h"
+#include "configuration/configuration.h"
+#include "log/bounded_output.h"
 #include "log/log.h"
 #include "net/controller.h"
 #include "net/sockets.h"
 
 namespace {
 
+using orchidgw::configuration::Configuration;
+using orchidgw::configuration::Sources;
+
 int fail(const std::string& what) {
   std::cerr << "orchidgw: " << what << std::endl;
-  return 1;
-}
-
-orchidgw::log::Level log_level() {
-  const char* word = std::getenv("ORCHIDGW_LOG");
-  return orchidgw::log::level_named(word == nullptr ? "" : word, orchidgw::log::Level::kInfo);
+  return orchidgw::cli::kBad;
 }
 
-int serve() {
-  const auto config = orchidgw::config::load_controller_config();
-  const std::string at = config.listen.host + ":" + std::to_string(config.listen.port);
-  const int listener = orchidgw::net::listen_at(config.listen);
+int serve(const Sources& sources) {
+  const Configuration configuration = orchidgw::configuration::load(sources, nullptr);
+  const auto& listen = configuration.controller.listen;
+  const std::string at = listen.host + ":" + std::to_string(listen.port);
+  const int listener = orchidgw::net::listen_at(listen);
   if (listener < 0) return fail("listen: " + at + ": " + std::strerror(errno));
-  orchidgw::log::Logger log(std::cerr, log_level(), config.name);
-  orchidgw::net::Controller controller(config, listener, log);
+  orchidgw::log::BoundedOutput output(STDERR_FILENO);
+  std::ostream lines(&output);
+  orchidgw::log::Logger log(lines, configuration.log.level, configuration.controller.name);
+  orchidgw::net::Controller controller(configuration, listener, log,
+                                       [&sources](const orchidgw::Settings& running) {
+                                         return orchidgw::configuration::load(sources, &running);
+                                       });
   log.write(orchidgw::log::Level::kInfo, "listening on " + at);
   controller.run();
-  return 0;
+  return orchidgw::cli::kGood;
+}
+
+int run(const orchidgw::cli::CommandLine& line) {
+  using Command = orchidgw::cli::CommandLine::Command;
+  switch (line.command) {
+    case Command::kServe:
+      return serve(line.sources);
+    case Command::kCheck:
+      return orchidgw::cli::run_check(line.sources, std::cout, std::cerr);
+    case Command::kExplain:
+      return orchidgw::cli::run_explain(line, std::cout, std::cerr);
+    case Command::kVersion:
+      return orchidgw::cli::run_version(std::cout);
+  }
+  return orchidgw::cli::kUsage;
 }
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  int exit_code = 0;
   try {
-    return serve();
+    const auto line = orchidgw::cli::parse(argc, argv, exit_code);
+    return line ? run(*line) : exit_code;
+  } catch (const orchidgw::configuration::ConfigurationError& e) {
+    for (const std::string& text : e.lines()) fail(text);
+    return orchidgw::cli::kBad;
   } catch (const std::exception& e) {
     return fail(e.what());
   }
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -49,8 +49,18 @@
 
 }  // namespace
 
-Controller::Controller(const config::ControllerConfig& config, int listener, log::Logger& log)
+Controller::Controller(const configuration::Configuration& configuration, int listener, log::Logger& log,
+                       Reload reload)
+    : Controller(configuration.controller, listener, log, std::move(reload)) {
+  log_.choose(configuration.log);
+  reducer_.set_trace(log.on(log::Level::kDebug, log::Component::kCore));
+  if (configuration.limits) put_limits_in_force(configuration.limits);
+}
+
+Controller::Controller(const config::ControllerConfig& config, int listener, log::Logger& log, Reload reload)
     : log_(log),
+      reload_(std::move(reload)),
+      settings_(config.settings),
       pool_(bytes_for(config, kPoolPart) / kBufferBytes, counters_),
       statement_bytes_most_(bytes_for(config, kStatementsPart)),
       reactor_([this] { return turn(); }),
@@ -66,9 +76,7 @@
       change_log_(context_, config.change_log, config.known,
                   {bytes_for(config, kChangesPart), config.connect_timeout}),
       front_door_(context_, listener, front_for(config), reducer_),
-      signals_(reactor_, [this](int signal) { on_signal(signal); }) {
-  reducer_.set_trace(log.on(log::Level::kDebug));
-}
+      signals_(reactor_, [this](int signal) { on_signal(signal); }) {}
 
 // Guards against running out of memory: who is not read keeps what he has to say. What was read in this turn
 // counts too, lest all clients together pass the bound in one.
@@ -103,6 +111,7 @@
     log_.write(log::Level::kError, std::string("turn: ") + e.what());
   }
   count_descriptors();
+  log_.stream().flush();  // what nobody read so far
   const TimeUs end = unix_now();
   counters_.turn.add(end - now);
   return wait_from(end);
@@ -160,7 +169,7 @@
         } else if constexpr (std::is_same_v<E, core::CloseConnection>) {
           engines_.close_connection_of(e.attempt);
         } else if constexpr (std::is_same_v<E, core::LogText>) {
-          log_.write(e.level, e.text);
+          log_.write(e.level, log::Component::kCore, e.text);
         } else {
           front_door_.answer(e);
         }
@@ -187,21 +196,43 @@
   reactor_.hurry();
 }
 
-// Reads the configuration anew. What is wrong with it is said in one line, and the old one stays.
+// Reads the configuration and the operators' file anew. What is wrong with either is said, a line each, and
+// both old ones stay.
 void Controller::reload() {
   ++counters_.reloads;
   try {
-    const config::Reloadable fresh = config::load_reloadable();
-    change_log_.move_to(fresh.change_log, fresh.known);
-    log_.write(log::Level::kInfo, "configuration read anew: the change log is at " + fresh.change_log.host +
-                                      ":" + std::to_string(fresh.change_log.port));
+    put_in_force(reload_(settings_));
+  } catch (const configuration::ConfigurationError& e) {
+    ++counters_.reloads_failed;
+    for (const std::string& line : e.lines())
+      log_.write(log::Level::kError, log::Component::kConfig, "configuration not taken over: " + line);
   } catch (const std::exception& e) {
     ++counters_.reloads_failed;
-    log_.write(log::Level::kError, std::string("configuration not taken over: ") + e.what());
+    log_.write(log::Level::kError, log::Component::kConfig,
+               std::string("configuration not taken over: ") + e.what());
   }
   reactor_.hurry();
 }
 
+// All of it between two events: no query meets a part of the old and a part of the new.
+void Controller::put_in_force(const configuration::Configuration& fresh) {
+  change_log_.move_to(fresh.controller.change_log, fresh.controller.known);
+  log_.choose(fresh.log);
+  reducer_.set_trace(log_.on(log::Level::kDebug, log::Component::kCore));
+  const core::Address& at = fresh.controller.change_log;
+  log_.write(log::Level::kInfo, log::Component::kConfig,
+             "configuration read anew: the change log is at " + at.host + ":" + std::to_string(at.port));
+  if (fresh.limits) return put_limits_in_force(fresh.limits);
+  if (reducer_.limiter().in_force() == nullptr) return;
+  put_limits_in_force(std::make_shared<const limits::LimitSet>(settings_, limits::LimitFile{}, 0));
+}
+
+void Controller::put_limits_in_force(std::shared_ptr<const limits::LimitSet> set) {
+  const auto routes = static_cast<std::int64_t>(set->routes().size()) - 1;
+  apply(unix_now(), core::LimitsChanged{std::move(set)});
+  log_.write(log::Level::kInfo, log::Component::kLimits, "limits in force", {{"routes", routes}});
+}
+
 // Ends only when nothing is open and nothing can still arrive.
 void Controller::stop_if_done(TimeUs now) {
   if (stop_asked_at_ == 0 || now < stop_asked_at_ + kStillComing) return;
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -1,10 +1,12 @@
 // The real controller: feeds the reducer with what the sockets report, in its order, and runs the effects.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "config/controller_config.h"
+#include "configuration/configuration.h"
 #include "core/reducer.h"
 #include "log/log.h"
 #include "metrics/counters.h"
@@ -21,12 +23,17 @@
 
 class Controller {
  public:
-  // `listener`: a listening descriptor, owned from here on.
-  Controller(const config::ControllerConfig& config, int listener, log::Logger& log);
+  // What a reload puts in force: read anew and checked against the settings that are in force.
+  using Reload = std::function<configuration::Configuration(const Settings& running)>;
+
+  // `listener`: a listening descriptor, owned from here on. `reload` throws where anything is wrong.
+  Controller(const configuration::Configuration& configuration, int listener, log::Logger& log,
+             Reload reload);
 
   void run();  // until a planned restart is over
 
  private:
+  Controller(const config::ControllerConfig& config, int listener, log::Logger& log, Reload reload);
   TimeUs turn();
   void post(core::Event event);
   bool crowded() const;
@@ -37,12 +44,16 @@
   void run_effect(core::SideEffect& effect);
   void on_signal(int signal);
   void reload();
+  void put_in_force(const configuration::Configuration& fresh);
+  void put_limits_in_force(std::shared_ptr<const limits::LimitSet> set);
   void stop_if_done(TimeUs now);
   void count_descriptors();
   void print_counters();
   TimeUs wait_from(TimeUs now) const;
 
   log::Logger& log_;
+  Reload reload_;
+  Settings settings_;
   metrics::Counters counters_;
   BufferPool pool_;
   std::size_t statement_bytes_most_;
