--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -21,7 +21,9 @@
 }
 
 void add_log(CLI::App& app, configuration::Sources& to) {
-  app.add_option("--log-level", to.log_level, "error, warn, info or debug")->envname("ORCHIDGW_LOG");
+  app.add_option("--log-level", to.log_level, "error, warn, info or debug")
+      ->envname("ORCHIDGW_LOG")
+      ->check(CLI::IsMember({"error", "warn", "info", "debug"}));
   app.add_option("--log-format", to.log_format, "text or json")
       ->envname("ORCHIDGW_LOG_FORMAT")
       ->check(CLI::IsMember({"text", "json"}));
@@ -36,17 +38,13 @@
   app.require_subcommand(0, 1);
   add_files(app, out.sources);
   add_log(app, out.sources);
-  CLI::App* serve =
-      app.add_subcommand("serve", "serve until told to stop (SIGTERM); what no command does, too");
-  add_files(*serve, out.sources);
-  add_log(*serve, out.sources);
+  app.fallthrough();  // the same options stand before or behind the command
+  app.add_subcommand("serve", "serve until told to stop (SIGTERM); what no command does, too");
   CLI::App* check =
       app.add_subcommand("check", "check both files as a start or a reload would, and say all faults");
-  add_files(*check, out.sources);
   CLI::App* explain = app.add_subcommand(
       "explain",
       "print the limits that hold for one kind of query, each with the line, setting or rule that set it");
-  add_files(*explain, out.sources);
   explain->add_option("--class", out.explain.class_name, "its class, as the settings name it")->required();
   explain->add_option("--tenant", out.explain.tenant, "its tenant");
   explain->add_option("--table", out.explain.table, "the first table of its statement, like sales_17.orders");
