--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# The project's tasks. `make run` needs BALANCER_CONFIG to name a configuration (docs/on-call.md).
-.PHONY: build test lint run
+# The project's tasks. `make run` without BALANCER_CONFIG starts the embedded sample on loopback (README.md).
+.PHONY: build test lint run ask bench fuzz
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF
@@ -12,4 +12,18 @@
 	bash tests/lint.sh
 
 run: build
-	build/orchidgw
+	if [ -n "$$BALANCER_CONFIG" ]; then exec build/orchidgw; else exec build/orchidgw_sample run; fi
+
+# A query to the sample that `make run` started: make ask Q='select * from sales_3.orders'
+Q ?= select * from sales_3.orders
+ask:
+	build/orchidgw_sample ask "$(Q)"
+
+# Long measurements, outside the tests (docs/limits.md).
+bench:
+	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF -DORCHIDGW_BENCH=ON
+	cmake --build build-bench -j4 --target orchidgw_limits_bench
+	build-bench/bench/orchidgw_limits_bench
+
+fuzz:
+	bash tests/fuzz.sh 2000000
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -214,6 +214,7 @@
     settle(h, a, o);
     judge(now, a, o);
     if (o.ended) end(h);
+    if (o.ended && h.q.limits) cancel_open(h, sink);  // the copy that lost
     if (!h.ended) next_step(now, h, sink);
     const std::int64_t freed = cls(h).load ? h.q.table_group : kAllGroups;
     const Engine& e = engines_.at(a.to.id);
--- /dev/null
+++ b/src/sample/ask.cpp
@@ -0,0 +1,118 @@
+#include "sample/ask.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
+#include <random>
+#include <stdexcept>
+
+#include "thrift/binary.h"
+
+namespace orchidgw::sample {
+namespace {
+
+using thrift::FieldType;
+
+constexpr std::uint32_t kAnswerMost = 64 * 1024;
+constexpr int kPastItsTimeMs = 1000;
+
+std::string new_reference() {
+  std::random_device device;
+  constexpr char kHex[] = "0123456789abcdef";
+  std::string out;
+  for (int i = 0; i < 16; ++i) out += kHex[device() % 16];
+  return out;
+}
+
+std::string frame_of(const Question& q) {
+  std::map<std::string, std::string> fields = {{"service", q.class_name},
+                                               {"ref", new_reference()},
+                                               {"allow", std::to_string(q.wait_ms)},
+                                               {"effort", "15.0"},
+                                               {"mem", "4"}};
+  if (!q.tenant.empty()) fields["project"] = q.tenant;
+  if (!q.key.empty()) fields["replay"] = q.key;
+  thrift::Writer body;
+  body.message(thrift::MessageType::kCall, "invoke", 1);
+  body.field(FieldType::kMap, 1);
+  body.text_map(fields);
+  body.field(FieldType::kString, 2);
+  body.bytes(q.statement);
+  body.stop();
+  thrift::Writer framed;
+  framed.bytes(body.text());  // a length and so many bytes: a frame
+  return framed.text();
+}
+
+void receive(Poco::Net::StreamSocket& socket, char* to, std::size_t n) {
+  for (std::size_t got = 0; got < n;) {
+    const int more = socket.receiveBytes(to + got, static_cast<int>(n - got));
+    if (more <= 0) throw std::runtime_error("the connection ended without an answer");
+    got += static_cast<std::size_t>(more);
+  }
+}
+
+std::map<std::string, std::string> read_map(thrift::Reader& in) {
+  std::map<std::string, std::string> out;
+  in.u8();
+  in.u8();
+  for (std::uint32_t n = in.u32(); n > 0 && in.ok(); --n) {
+    const std::string key(in.bytes());
+    out[key] = std::string(in.bytes());
+  }
+  return out;
+}
+
+// The struct of an answer: rows and fields, or fields alone.
+void read_struct(thrift::Reader& in, Reply& reply) {
+  while (in.ok()) {
+    const auto type = static_cast<FieldType>(in.u8());
+    if (type == FieldType::kStop) return;
+    in.u16();
+    if (type == FieldType::kString) {
+      reply.rows = std::string(in.bytes());
+    } else if (type == FieldType::kMap) {
+      reply.fields = read_map(in);
+    } else {
+      in.skip(type);
+    }
+  }
+}
+
+Reply read_reply(std::string_view frame) {
+  thrift::Reader in(frame);
+  Reply reply;
+  const std::uint32_t head = in.u32();
+  in.bytes();
+  in.u32();
+  if ((head & 0xff) != static_cast<std::uint32_t>(thrift::MessageType::kReply)) {
+    reply.fields["why"] = "the controller could not use the request";
+    return reply;
+  }
+  const auto type = static_cast<FieldType>(in.u8());
+  const std::uint16_t field = in.u16();
+  if (!in.ok() || type != FieldType::kStruct) throw std::runtime_error("the answer can't be read");
+  reply.kind = field == 0 ? Reply::Kind::kServed : field == 1 ? Reply::Kind::kRefused : Reply::Kind::kFailed;
+  read_struct(in, reply);
+  if (!in.ok()) throw std::runtime_error("the answer can't be read");
+  return reply;
+}
+
+}  // namespace
+
+Reply ask(const Question& question) {
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(question.address), Poco::Timespan(2, 0));
+  socket.setReceiveTimeout(Poco::Timespan((question.wait_ms + kPastItsTimeMs) * 1000L));
+  const std::string frame = frame_of(question);
+  socket.sendBytes(frame.data(), static_cast<int>(frame.size()));
+  char head[4];
+  receive(socket, head, sizeof head);
+  const std::uint32_t length = thrift::Reader({head, sizeof head}).u32();
+  if (length > kAnswerMost) throw std::runtime_error("the answer is too long");
+  std::string answer(length, '\0');
+  receive(socket, answer.data(), answer.size());
+  return read_reply(answer);
+}
+
+}  // namespace orchidgw::sample
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -71,12 +71,19 @@
   if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
   directory_ = path;
   configure(options);
-  start({{"BALANCER_CONFIG", directory_ + "/config.json"}, {"BALANCER_NAME", "n0"}});
+  std::map<std::string, std::string> environment = {{"BALANCER_CONFIG", directory_ + "/config.json"},
+                                                    {"BALANCER_NAME", "n0"}};
+  if (!options.limits.empty()) {
+    write_limits(options.limits);
+    environment["ORCHIDGW_LIMITS"] = limits_path();
+  }
+  start(environment, options.words);
   if (!wait_for_line("listening on")) throw std::runtime_error("the controller did not start: " + log());
 }
 
-ControllerProcess::ControllerProcess(const std::map<std::string, std::string>& environment) {
-  start(environment);
+ControllerProcess::ControllerProcess(const std::map<std::string, std::string>& environment,
+                                     const std::vector<std::string>& words) {
+  start(environment, words);
 }
 
 ControllerProcess::~ControllerProcess() {
@@ -84,11 +91,13 @@
     ::kill(pid_, SIGKILL);
     wait_exit();
   }
+  read_on();
   if (reader_.joinable()) reader_.join();
   if (!directory_.empty()) std::filesystem::remove_all(directory_);
 }
 
-void ControllerProcess::start(const std::map<std::string, std::string>& environment) {
+void ControllerProcess::start(const std::map<std::string, std::string>& environment,
+                              const std::vector<std::string>& arguments) {
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe failed");
   posix_spawn_file_actions_t actions;
@@ -102,8 +111,11 @@
   for (auto& word : words) env.push_back(word.data());
   env.push_back(nullptr);
   std::string program = ORCHIDGW_PROGRAM;
-  char* argv[] = {program.data(), nullptr};
-  const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv, env.data());
+  std::vector<std::string> line = arguments;
+  std::vector<char*> argv = {program.data()};
+  for (auto& word : line) argv.push_back(word.data());
+  argv.push_back(nullptr);
+  const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), env.data());
   posix_spawn_file_actions_destroy(&actions);
   ::close(ends[1]);
   if (failed != 0) throw std::runtime_error("the controller can't be started");
@@ -113,6 +125,10 @@
 void ControllerProcess::read_log(int fd) {
   char bytes[4096];
   while (true) {
+    {
+      std::unique_lock lock(mutex_);
+      changed_.wait(lock, [&] { return reading_; });
+    }
     const ssize_t n = ::read(fd, bytes, sizeof bytes);
     if (n <= 0) break;
     const std::lock_guard lock(mutex_);
@@ -128,6 +144,13 @@
 
 void ControllerProcess::configure(const std::string& text) const { std::ofstream(config_path()) << text; }
 
+void ControllerProcess::write_limits(const std::string& text) const { std::ofstream(limits_path()) << text; }
+
+void ControllerProcess::replace_limits(const std::string& text) const {
+  std::ofstream(limits_path() + ".new") << text;
+  std::filesystem::rename(limits_path() + ".new", limits_path());
+}
+
 void ControllerProcess::signal(int number) const { ::kill(pid_, number); }
 
 int ControllerProcess::wait_exit() {
@@ -143,6 +166,17 @@
   return changed_.wait_for(lock, kLongTime, [&] { return log_.find(part) != std::string::npos; });
 }
 
+void ControllerProcess::stop_reading() {
+  const std::lock_guard lock(mutex_);
+  reading_ = false;
+}
+
+void ControllerProcess::read_on() {
+  const std::lock_guard lock(mutex_);
+  reading_ = true;
+  changed_.notify_all();
+}
+
 std::string ControllerProcess::log() const {
   const std::lock_guard lock(mutex_);
   return log_;
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -17,6 +17,8 @@
   std::vector<std::string> members;  // JSON of the engines known at the start
   int sockets = 1024;
   int memory_mb = 192;
+  std::string limits;              // the operators' file; empty: none
+  std::vector<std::string> words;  // of the command line
 };
 
 // JSON of a list member.
@@ -27,7 +29,8 @@
  public:
   explicit ControllerProcess(const ControllerOptions& options);
   // With this environment only; no configuration of the test's.
-  explicit ControllerProcess(const std::map<std::string, std::string>& environment);
+  explicit ControllerProcess(const std::map<std::string, std::string>& environment,
+                             const std::vector<std::string>& words = {});
   ~ControllerProcess();
 
   std::string address() const { return address_; }
@@ -36,14 +39,19 @@
   void signal(int number) const;
   void configure(const ControllerOptions& options) const;  // writes the file anew; SIGHUP has it read
   void configure(const std::string& text) const;
-  int wait_exit();                              // its exit code, or 128 + signal
-  bool wait_for_line(const std::string& part);  // on its standard error
+  std::string limits_path() const { return directory_ + "/limits.yaml"; }
+  void write_limits(const std::string& text) const;    // in place
+  void replace_limits(const std::string& text) const;  // by rename
+  int wait_exit();                                     // its exit code, or 128 + signal
+  bool wait_for_line(const std::string& part);         // on its standard error
   std::string log() const;
+  void stop_reading();  // of its standard error, until read_on
+  void read_on();
   std::map<std::string, long> counters();  // as SIGUSR1 prints them
   bool wait_for_counter(const std::string& name, long value);
 
  private:
-  void start(const std::map<std::string, std::string>& environment);
+  void start(const std::map<std::string, std::string>& environment, const std::vector<std::string>& words);
   void read_log(int fd);
 
   std::string address_;
@@ -53,6 +61,7 @@
   std::thread reader_;
   mutable std::mutex mutex_;
   std::condition_variable changed_;
+  bool reading_ = true;
   std::string log_;
 };
 
--- /dev/null
+++ b/tests/integration/limits_test.cpp
@@ -0,0 +1,234 @@
+// `orchidgw` itself under an operators' file: reloads under load, bad files, files replaced while they are
+// read, and the commands that check and explain one.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+#include "change_log_stand_in.h"
+#include "controller_process.h"
+#include "front_client.h"
+#include "http_stand_in.h"
+
+namespace orchidgw::integration {
+namespace {
+
+using Kind = FrontAnswer::Kind;
+
+const std::string kNone = "version: 1\n...\n";
+
+std::string lookups(const std::string& bounds) {
+  return "version: 1\nroutes:\n- name: lookups\n  match: {class: lookup}\n" + bounds + "...\n";
+}
+
+HttpReply serve_soon(const HttpCall& call) {
+  HttpReply r;
+  if (call.method == "DELETE") {
+    r.status = 204;
+    return r;
+  }
+  if (call.method == "POST") std::this_thread::sleep_for(std::chrono::milliseconds(3));
+  r.headers = {{"X-Pages", "1"}, {"X-Cost-Ms", "5"}, {"X-Needed-Mb", "4"}};
+  r.body = "a\tb\tc\n";
+  return r;
+}
+
+class Limited : public ::testing::Test {
+ protected:
+  void start(const std::string& limits, HttpStandIn::Script script = serve_soon) {
+    for (int i = 0; i < 2; ++i) {
+      engines.push_back(std::make_unique<HttpStandIn>(script));
+      options.members.push_back(member("s-" + std::to_string(i), engines.back()->address()));
+    }
+    options.change_log = change_log.address();
+    options.limits = limits;
+    controller = std::make_unique<ControllerProcess>(options);
+  }
+
+  long reload() {
+    controller->signal(SIGHUP);
+    EXPECT_TRUE(controller->wait_for_counter("config.reloads", ++reloads));
+    return controller->counters()["config.reloads_failed"];
+  }
+
+  long attempts_seen() const {
+    long n = 0;
+    for (const auto& engine : engines) n += engine->count("POST");
+    return n;
+  }
+
+  ChangeLogStandIn change_log;
+  std::vector<std::unique_ptr<HttpStandIn>> engines;
+  ControllerOptions options;
+  std::unique_ptr<ControllerProcess> controller;
+  long reloads = 0;
+};
+
+// 50 reloads, a third of them bad, while four clients ask: each question has one answer, and both sides count
+// the same.
+TEST_F(Limited, FiftyReloadsUnderLoadLoseAndDoubleNothing) {
+  constexpr int kClients = 4;
+  constexpr int kQueries = 250;
+  start(lookups("  concurrency: 3\n"));
+  std::atomic<long> served{0}, refused{0}, failed{0}, others{0};
+  std::vector<std::thread> clients;
+  for (int c = 0; c < kClients; ++c) {
+    clients.emplace_back([&] {
+      FrontClient client(controller->address());
+      for (std::int32_t n = 1; n <= kQueries; ++n) {
+        client.invoke(n);
+        const FrontAnswer answer = client.receive();
+        const bool mine = answer.sequence == n;
+        ++(!mine                           ? others
+           : answer.kind == Kind::kServed  ? served
+           : answer.kind == Kind::kRefused ? refused
+           : answer.kind == Kind::kFailed  ? failed
+                                           : others);
+      }
+    });
+  }
+  const std::vector<std::string> files = {lookups("  concurrency: 2\n  longest_hold: 40ms\n"),
+                                          lookups("  concurrncy: 2\n"),
+                                          lookups("  rate: {per_second: 300, burst: 20}\n  attempts: 1\n")};
+  long bad = 0;
+  for (int i = 0; i < 50; ++i) {
+    bad += i % 3 == 1 ? 1 : 0;
+    controller->replace_limits(files[static_cast<std::size_t>(i % 3)]);
+    EXPECT_EQ(reload(), bad);
+  }
+  for (auto& client : clients) client.join();
+  EXPECT_EQ(others, 0);
+  EXPECT_EQ(served + refused + failed, kClients * kQueries);
+  EXPECT_GT(served, 0);
+  EXPECT_TRUE(controller->wait_for_counter("queries.open", 0));
+  EXPECT_TRUE(controller->wait_for_counter("connections.engines", 0));
+  auto counters = controller->counters();
+  EXPECT_EQ(counters["queries.taken"], kClients * kQueries);
+  EXPECT_EQ(counters["queries.served"], served);
+  EXPECT_EQ(counters["queries.refused"], refused);
+  EXPECT_EQ(counters["queries.failed"], failed);
+  EXPECT_EQ(counters["queries.waiting"], 0);
+  EXPECT_EQ(counters["attempts.sent"], attempts_seen());
+  std::set<std::string> ids;
+  for (const auto& engine : engines) {
+    for (const HttpCall& call : engine->calls()) {
+      if (call.method != "POST") continue;
+      EXPECT_TRUE(ids.insert(call.headers.at("Call-Id")).second);
+    }
+  }
+}
+
+TEST_F(Limited, ABadFileNamesEachFaultAndTheOldOneStays) {
+  start(lookups("  attempts: 1\n"), [](const HttpCall&) {
+    HttpReply r;
+    r.status = 500;
+    return r;
+  });
+  controller->replace_limits(lookups("  timeout: 1\n  attempts: 9\n"));
+  EXPECT_EQ(reload(), 1);
+  EXPECT_TRUE(
+      controller->wait_for_line("limits.yaml:5:12: routes[0].timeout: a time with its unit is wanted, like "
+                                "250ms, 2s or 5m, an hour at most"));
+  controller->replace_limits(lookups("  attempts: 9\n"));
+  EXPECT_EQ(reload(), 2);
+  EXPECT_TRUE(
+      controller->wait_for_line("limits.yaml:5:13: routes[0].attempts: over the settings' most of 3"));
+  FrontClient client(controller->address());
+  client.invoke(1);
+  EXPECT_EQ(client.receive().kind, Kind::kRefused);
+  EXPECT_EQ(attempts_seen(), 1);
+}
+
+// Guards against a part that is in force: the configuration is right, the limits are not.
+TEST_F(Limited, WithOneFileBadNeitherIsInForce) {
+  start(kNone);
+  ChangeLogStandIn other;
+  options.change_log = other.address();
+  controller->configure(options);
+  controller->replace_limits("version: 1\n");
+  EXPECT_EQ(reload(), 1);
+  change_log.tell(member("s-9", "127.0.0.1:1", "terminated"));
+  EXPECT_TRUE(controller->wait_for_counter("list.changes", 2));
+  EXPECT_EQ(other.server().count("GET"), 0);
+  controller->replace_limits(kNone);
+  EXPECT_EQ(reload(), 1);
+  EXPECT_TRUE(other.server().wait_for("GET", "/changes"));
+}
+
+TEST_F(Limited, AFileWrittenInPlaceIsTakenWholeOrNotAtAll) {
+  start(kNone);
+  const std::string whole = lookups("  attempts: 1\n");
+  controller->write_limits(whole.substr(0, whole.size() / 2));
+  EXPECT_EQ(reload(), 1);
+  controller->write_limits(whole);
+  EXPECT_EQ(reload(), 1);
+}
+
+TEST_F(Limited, AReloadInAStopIsTakenAndTheStopGoesOn) {
+  start(lookups("  concurrency: 1\n"), [](const HttpCall& call) {
+    if (call.method == "POST") std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    return serve_soon(call);
+  });
+  FrontClient client(controller->address());
+  for (std::int32_t n = 1; n <= 3; ++n) client.invoke(n);
+  ASSERT_TRUE(controller->wait_for_counter("queries.taken", 3));
+  controller->signal(SIGTERM);
+  ASSERT_TRUE(controller->wait_for_line("asked to stop"));
+  controller->replace_limits(lookups("  concurrency: 9\n"));
+  EXPECT_EQ(reload(), 0);
+  for (int n = 0; n < 3; ++n) EXPECT_EQ(client.receive().kind, Kind::kServed);
+  client.close();
+  EXPECT_EQ(controller->wait_exit(), 0);
+}
+
+TEST_F(Limited, ABadFileAtTheStartEndsItWithEveryFault) {
+  start(kNone);
+  ControllerProcess second({{"BALANCER_CONFIG", controller->config_path()}},
+                           {"--limits", "/nowhere/limits.yaml"});
+  EXPECT_EQ(second.wait_exit(), 1);
+  EXPECT_TRUE(second.wait_for_line("orchidgw: /nowhere/limits.yaml: No such file or directory"));
+}
+
+TEST_F(Limited, CheckSaysGoodOrEveryFault) {
+  start(lookups("  attempts: 2\n"));
+  const std::map<std::string, std::string> environment = {{"BALANCER_CONFIG", controller->config_path()}};
+  ControllerProcess good(environment, {"check", "--limits", controller->limits_path()});
+  EXPECT_EQ(good.wait_exit(), 0);
+  EXPECT_TRUE(good.wait_for_line("good: 1 routes and the defaults"));
+  controller->replace_limits(lookups("  attempts: 0\n  timeout: 61s\n"));
+  ControllerProcess bad(environment, {"check", "--limits", controller->limits_path()});
+  EXPECT_EQ(bad.wait_exit(), 1);
+  EXPECT_TRUE(bad.wait_for_line(":5:13: routes[0].attempts: a whole number from 1 to 100 is wanted"));
+  ControllerProcess usage(environment, {"chekc"});
+  EXPECT_EQ(usage.wait_exit(), 2);
+}
+
+TEST_F(Limited, ExplainNamesWhatSetEachLimit) {
+  start(lookups("  attempts: 2\n  timeout: 2s\n"));
+  ControllerProcess explain({{"BALANCER_CONFIG", controller->config_path()}},
+                            {"explain", "--limits", controller->limits_path(), "--class", "lookup"});
+  EXPECT_EQ(explain.wait_exit(), 0);
+  EXPECT_TRUE(explain.wait_for_line("route: lookups"));
+  const std::string told = explain.log();
+  EXPECT_NE(told.find("file, line 6, for route 'lookups'"), std::string::npos) << told;
+  EXPECT_NE(told.find("settings: policyLimits.secondCopies"), std::string::npos) << told;
+}
+
+// Guards against a loop that waits for who reads its log.
+TEST_F(Limited, NobodyReadsTheLogAndItServesAllTheSame) {
+  options.words = {"--log-level", "debug", "--log-format", "json"};
+  start(kNone);
+  controller->stop_reading();
+  FrontClient client(controller->address());
+  for (std::int32_t n = 1; n <= 600; ++n) {
+    client.invoke(n);
+    ASSERT_EQ(client.receive().kind, Kind::kServed) << n;
+  }
+  controller->read_on();
+  EXPECT_TRUE(controller->wait_for_counter("queries.served", 600));
+}
+
+}  // namespace
+}  // namespace orchidgw::integration
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Every check of the project: format, lint, the tests in Release, the same under ASan and UBSan, the build as
-# deployed (without tests).
+# Every check of the project: format, lint, the tests in Release, the same under ASan and UBSan, the reader
+# of the operators' file fuzzed for a fixed number of inputs, the build as deployed (without tests).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash tests/lint.sh
@@ -10,5 +10,6 @@
 cmake -S . -B build-ci-asan -DCMAKE_BUILD_TYPE=Debug -DORCHIDGW_SANITIZE=ON
 cmake --build build-ci-asan -j4
 ctest --test-dir build-ci-asan --output-on-failure -j4
+bash tests/fuzz.sh 20000
 cmake -S . -B build-ci-deploy -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF
 cmake --build build-ci-deploy -j4
