Test: a query that waited under its limits buys no further attempt (rule 7)

The test holds a query behind a bound of one, lets it in and fails it: no second attempt may follow, as only one query counts. Result: fails without the guard in on_query.

--- a/tests/reducer/limits_test.cpp
+++ b/tests/reducer/limits_test.cpp
@@ -157,6 +157,24 @@
   EXPECT_EQ(answers[1], std::vector<std::string>{"served x\n"});
 }
 
+// Guards against rule 7 over too late a window: a query that waited under its limits was taken before it was
+// let in.
+TEST_F(LimitedTest, AQueryThatWaitedCountsForNoFurtherAttempt) {
+  settings.rules.attempts_rationed = true;
+  settings.rules.extra_free = 0;
+  settings.rules.extra_share = 0.5;
+  settings.rules.extra_window = 10 * kSecond;
+  begin();
+  route("  concurrency: 1\n");
+  request(1);
+  request(2);
+  run_until(now + 100 * kMs);
+  answer(last().call, Kind::kServed, "x\n", 1);
+  answer(last().call, Kind::kError);
+  run_until(now + 300 * kMs);
+  EXPECT_EQ(attempts(), 2U);
+}
+
 class CopyingTest : public LimitedTest {
  protected:
   CopyingTest() { settings.limits.second_copies = true; }
