--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -13,7 +13,7 @@
 // state, the old and the new beside each other. A route takes up to 6 KB so.
 constexpr std::size_t kRoutesPerMb = 6;
 constexpr std::size_t kNodesPerMb = 200;
-constexpr std::size_t kBytesPerMb = 2 * 1024;
+constexpr std::size_t kBytesPerMb = std::size_t{2} * 1024;
 
 int last_version = 0;  // of the limits that were read, in this process
 
--- a/src/log/bounded_output.cpp
+++ b/src/log/bounded_output.cpp
@@ -13,7 +13,7 @@
 
 // After poll said so, a pipe takes this much without waiting (PIPE_BUF, POSIX).
 constexpr std::size_t kAtOnce = 4096;
-constexpr std::size_t kLineMost = 16 * 1024;
+constexpr std::size_t kLineMost = std::size_t{16} * 1024;
 constexpr int kLastWaitMs = 500;  // at the end, for a reader that is slow but there
 
 // A description of our own for a pipe, so that not waiting is set for no other process that writes to it: two
--- a/src/log/bounded_output.h
+++ b/src/log/bounded_output.h
@@ -11,7 +11,7 @@
 class BoundedOutput final : public std::streambuf {
  public:
   // `fd` stays the caller's. `most`: bytes kept while nobody reads.
-  explicit BoundedOutput(int fd, std::size_t most = 256 * 1024);
+  explicit BoundedOutput(int fd, std::size_t most = std::size_t{256} * 1024);
   ~BoundedOutput() override;
   BoundedOutput(const BoundedOutput&) = delete;
   BoundedOutput& operator=(const BoundedOutput&) = delete;
--- a/src/operator_file/fields.cpp
+++ b/src/operator_file/fields.cpp
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-std::optional<TimeUs> to_time(const Node& node) {
-  if (node.kind != Node::Kind::kScalar) return std::nullopt;
+std::optional<TimeUs> to_time(const YamlNode& node) {
+  if (node.kind != YamlNode::Kind::kScalar) return std::nullopt;
   constexpr std::pair<std::string_view, double> kUnits[] = {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"m", 60e6}};
   const std::string_view text = node.text;
   const auto digits = std::min(text.find_first_not_of("0123456789."), text.size());
@@ -43,20 +43,20 @@
   return std::nullopt;
 }
 
-std::optional<double> to_number(const Node& node) {
-  if (node.kind != Node::Kind::kScalar || node.quoted) return std::nullopt;
+std::optional<double> to_number(const YamlNode& node) {
+  if (node.kind != YamlNode::Kind::kScalar || node.quoted) return std::nullopt;
   return plain_number(node.text);
 }
 
-std::optional<double> to_share(const Node& node) {
-  if (node.kind != Node::Kind::kScalar) return std::nullopt;
+std::optional<double> to_share(const YamlNode& node) {
+  if (node.kind != YamlNode::Kind::kScalar) return std::nullopt;
   if (!node.text.ends_with('%')) return to_number(node);
   const auto number = plain_number(std::string_view(node.text).substr(0, node.text.size() - 1));
   return number ? std::optional(*number / 100) : std::nullopt;
 }
 
-std::optional<int> to_count(const Node& node) {
-  if (node.kind != Node::Kind::kScalar || node.quoted) return std::nullopt;
+std::optional<int> to_count(const YamlNode& node) {
+  if (node.kind != YamlNode::Kind::kScalar || node.quoted) return std::nullopt;
   int value = 0;
   const char* last = node.text.data() + node.text.size();
   const auto [end, error] = std::from_chars(node.text.data(), last, value);
@@ -64,37 +64,37 @@
   return value;
 }
 
-Fields::Fields(const Node& node, std::string path, std::vector<Fault>& faults)
+Fields::Fields(const YamlNode& node, std::string path, std::vector<Fault>& faults)
     : node_(node), path_(std::move(path)), faults_(faults) {
   if (!is_map()) faults_.push_back({node.place, path_, "a map of fields is wanted"});
 }
 
-const Node* Fields::find(const char* key) {
+const YamlNode* Fields::find(const char* key) {
   known_.push_back(key);
   if (!is_map()) return nullptr;
   for (const Member& member : node_.members) {
     if (member.key.text != key) continue;
-    if (member.value.kind != Node::Kind::kNull) return &member.value;
+    if (member.value.kind != YamlNode::Kind::kNull) return &member.value;
     fault(member.key, key, "the field has no value");
     return nullptr;
   }
   return nullptr;
 }
 
-const Node* Fields::need(const char* key) {
+const YamlNode* Fields::need(const char* key) {
   const std::size_t before = faults_.size();
-  const Node* node = find(key);
+  const YamlNode* node = find(key);
   if (node == nullptr && is_map() && faults_.size() == before) fault(node_, key, "missing");
   return node;
 }
 
-void Fields::fault(const Node& at, const std::string& key, std::string why) {
+void Fields::fault(const YamlNode& at, const std::string& key, std::string why) {
   const std::string path = path_.empty() || key.empty() ? path_ + key : path_ + "." + key;
   faults_.push_back({at.place, path, std::move(why)});
 }
 
 void Fields::time(const char* key, limits::Maybe<TimeUs>& to, TimeUs least) {
-  const Node* node = find(key);
+  const YamlNode* node = find(key);
   if (node == nullptr) return;
   const auto value = to_time(*node);
   if (!value)
@@ -104,7 +104,7 @@
 }
 
 void Fields::count(const char* key, limits::Maybe<int>& to, int least, int most) {
-  const Node* node = find(key);
+  const YamlNode* node = find(key);
   if (node == nullptr) return;
   const auto value = to_count(*node);
   if (!value || *value < least || *value > most)
@@ -115,7 +115,7 @@
 }
 
 void Fields::number(const char* key, limits::Maybe<double>& to, double least, double most) {
-  const Node* node = find(key);
+  const YamlNode* node = find(key);
   if (node == nullptr) return;
   const auto value = to_number(*node);
   if (!value || *value < least || *value > most)
@@ -125,7 +125,7 @@
 }
 
 void Fields::share(const char* key, limits::Maybe<double>& to) {
-  const Node* node = find(key);
+  const YamlNode* node = find(key);
   if (node == nullptr) return;
   const auto value = to_share(*node);
   if (!value || *value > 1) return fault(*node, key, "a share is wanted: 0 to 1, or 0% to 100%");
@@ -133,9 +133,9 @@
 }
 
 void Fields::word(const char* key, limits::Maybe<std::string>& to) {
-  const Node* node = find(key);
+  const YamlNode* node = find(key);
   if (node == nullptr) return;
-  if (node->kind != Node::Kind::kScalar || node->text.empty() || node->text.size() > kWordMost)
+  if (node->kind != YamlNode::Kind::kScalar || node->text.empty() || node->text.size() > kWordMost)
     return fault(*node, key, "a word of 1 to 200 bytes is wanted");
   to = {node->text, node->place};
 }
--- a/src/operator_file/fields.h
+++ b/src/operator_file/fields.h
@@ -12,14 +12,14 @@
 class Fields {
  public:
   // Complains where `node` is no map.
-  Fields(const Node& node, std::string path, std::vector<Fault>& faults);
+  Fields(const YamlNode& node, std::string path, std::vector<Fault>& faults);
 
-  bool is_map() const { return node_.kind == Node::Kind::kMap; }
+  bool is_map() const { return node_.kind == YamlNode::Kind::kMap; }
   const std::string& path() const { return path_; }
   Place place() const { return node_.place; }
 
-  const Node* find(const char* key);  // null where it is absent; counts as known from then on
-  const Node* need(const char* key);  // complains where it is absent
+  const YamlNode* find(const char* key);  // null where it is absent; counts as known from then on
+  const YamlNode* need(const char* key);  // complains where it is absent
 
   void time(const char* key, limits::Maybe<TimeUs>& to, TimeUs least = 1);
   void count(const char* key, limits::Maybe<int>& to, int least, int most);
@@ -29,19 +29,19 @@
 
   // Complains of every key that was not asked for.
   void finish();
-  void fault(const Node& at, const std::string& key, std::string why);
+  void fault(const YamlNode& at, const std::string& key, std::string why);
 
  private:
-  const Node& node_;
+  const YamlNode& node_;
   std::string path_;
   std::vector<Fault>& faults_;
   std::vector<const char*> known_;
 };
 
 // Values of one node; nothing where it is no such value.
-std::optional<TimeUs> to_time(const Node& node);    // a number with us, ms, s or m; up to an hour
-std::optional<double> to_number(const Node& node);  // a plain decimal number
-std::optional<double> to_share(const Node& node);   // as above, or with %
-std::optional<int> to_count(const Node& node);      // a plain whole number
+std::optional<TimeUs> to_time(const YamlNode& node);    // a number with us, ms, s or m; up to an hour
+std::optional<double> to_number(const YamlNode& node);  // a plain decimal number
+std::optional<double> to_share(const YamlNode& node);   // as above, or with %
+std::optional<int> to_count(const YamlNode& node);      // a plain whole number
 
 }  // namespace orchidgw::operator_file
--- a/src/operator_file/operator_file.h
+++ b/src/operator_file/operator_file.h
@@ -15,7 +15,7 @@
 
 // What a file may have at the most: a deployment's memory sets it.
 struct Size {
-  std::size_t bytes = 1024 * 1024;
+  std::size_t bytes = std::size_t{1024} * 1024;
   std::size_t nodes = 400'000;
 };
 
--- a/src/operator_file/reader.cpp
+++ b/src/operator_file/reader.cpp
@@ -29,35 +29,35 @@
  public:
   explicit Reader(std::vector<Fault>& faults) : faults_(faults) {}
 
-  void read(const Node& root, OperatorFile& file) {
+  void read(const YamlNode& root, OperatorFile& file) {
     Fields top(root, "", faults_);
     if (!top.is_map()) return;
     read_version(top);
-    if (const Node* log = top.find("log")) read_log(*log, file.log);
-    if (const Node* defaults = top.find("defaults")) {
+    if (const YamlNode* log = top.find("log")) read_log(*log, file.log);
+    if (const YamlNode* defaults = top.find("defaults")) {
       Fields fields(*defaults, "defaults", faults_);
       read_bounds(fields, file.limits.defaults);
       fields.finish();
     }
-    if (const Node* retries = top.find("retries")) read_retries(*retries, "retries", file.limits.retries);
-    if (const Node* routes = top.find("routes")) read_routes(top, *routes, file.limits.routes);
+    if (const YamlNode* retries = top.find("retries")) read_retries(*retries, "retries", file.limits.retries);
+    if (const YamlNode* routes = top.find("routes")) read_routes(top, *routes, file.limits.routes);
     top.finish();
   }
 
  private:
   void read_version(Fields& top) {
-    const Node* node = top.need("version");
+    const YamlNode* node = top.need("version");
     if (node == nullptr) return;
     const auto version = to_count(*node);
     if (!version || *version != kFormatVersion)
       top.fault(*node, "version", "this program reads version 1 alone");
   }
 
-  void read_log(const Node& node, LogChoice& to) {
+  void read_log(const YamlNode& node, LogChoice& to) {
     Fields fields(node, "log", faults_);
     one_of(fields, "level", kLevels, to.level);
     one_of(fields, "format", std::array<const char*, 2>{"text", "json"}, to.format);
-    if (const Node* components = fields.find("components")) {
+    if (const YamlNode* components = fields.find("components")) {
       Fields each(*components, "log.components", faults_);
       for (const char* name : kComponents) {
         std::string level;
@@ -82,8 +82,9 @@
     if (to.empty()) fields.fault(*fields.find(key), key, "one of these is wanted: " + all);
   }
 
-  void read_routes(Fields& top, const Node& node, std::vector<Route>& to) {
-    if (node.kind != Node::Kind::kSequence) return top.fault(node, "routes", "a list of routes is wanted");
+  void read_routes(Fields& top, const YamlNode& node, std::vector<Route>& to) {
+    if (node.kind != YamlNode::Kind::kSequence)
+      return top.fault(node, "routes", "a list of routes is wanted");
     to.reserve(node.items.size());
     for (std::size_t i = 0; i < node.items.size(); ++i) {
       if (faults_.size() >= kFaultsMost) return;
@@ -91,29 +92,29 @@
     }
   }
 
-  void read_route(const Node& node, const std::string& path, Route& to) {
+  void read_route(const YamlNode& node, const std::string& path, Route& to) {
     Fields fields(node, path, faults_);
     to.place = node.place;
     if (!fields.is_map()) return;
-    if (const Node* name = fields.need("name")) {
-      if (name->kind == Node::Kind::kScalar && word_ok(name->text)) {
+    if (const YamlNode* name = fields.need("name")) {
+      if (name->kind == YamlNode::Kind::kScalar && word_ok(name->text)) {
         to.name = name->text;
       } else {
         fields.fault(*name, "name", "a name of letters, digits, '-', '_' and '.' is wanted, 64 at most");
       }
     }
     fields.word("like", to.like);
-    if (const Node* match = fields.need("match")) read_match(*match, path + ".match", to.match);
+    if (const YamlNode* match = fields.need("match")) read_match(*match, path + ".match", to.match);
     read_bounds(fields, to.bounds);
     fields.finish();
   }
 
-  void read_match(const Node& node, const std::string& path, Match& to) {
+  void read_match(const YamlNode& node, const std::string& path, Match& to) {
     Fields fields(node, path, faults_);
     if (!fields.is_map()) return;
     fields.word("class", to.class_name);
     fields.word("tenant", to.tenant);
-    if (const Node* table = fields.find("table")) read_table(fields, *table, to.table);
+    if (const YamlNode* table = fields.find("table")) read_table(fields, *table, to.table);
     Maybe<std::string> key;
     fields.word("key", key);
     if (key && key->value != "given" && key->value != "absent") {
@@ -125,8 +126,8 @@
     if (node.members.empty()) fields.fault(node, "", "matches everything: that is what defaults are for");
   }
 
-  void read_table(Fields& fields, const Node& node, Maybe<TablePattern>& to) {
-    std::string text = node.kind == Node::Kind::kScalar ? node.text : "";
+  void read_table(Fields& fields, const YamlNode& node, Maybe<TablePattern>& to) {
+    std::string text = node.kind == YamlNode::Kind::kScalar ? node.text : "";
     const bool prefix = text.ends_with('*');
     if (prefix) text.pop_back();
     const bool ok =
@@ -147,17 +148,17 @@
     fields.time("longest_hold", to.longest_hold);
     fields.count("attempts", to.attempts, 1, 100);
     fields.count("line", to.line, 0, kCountMost);
-    if (const Node* node = fields.find("second_copy")) read_copy(fields, *node, to.second_copy);
-    if (const Node* node = fields.find("back_off")) read_back_off(fields, *node, to.back_off);
-    if (const Node* node = fields.find("retry_on")) read_retry_on(fields, *node, to.retry_on);
-    if (const Node* node = fields.find("concurrency")) read_concurrency(fields, *node, to.concurrency);
-    if (const Node* node = fields.find("rate")) read_rate(fields, *node, to.rate);
-    if (const Node* node = fields.find("retries"))
+    if (const YamlNode* node = fields.find("second_copy")) read_copy(fields, *node, to.second_copy);
+    if (const YamlNode* node = fields.find("back_off")) read_back_off(fields, *node, to.back_off);
+    if (const YamlNode* node = fields.find("retry_on")) read_retry_on(fields, *node, to.retry_on);
+    if (const YamlNode* node = fields.find("concurrency")) read_concurrency(fields, *node, to.concurrency);
+    if (const YamlNode* node = fields.find("rate")) read_rate(fields, *node, to.rate);
+    if (const YamlNode* node = fields.find("retries"))
       read_retries(*node, fields.path() + ".retries", to.retries);
   }
 
-  void read_copy(Fields& outer, const Node& node, Maybe<SecondCopy>& to) {
-    if (node.kind == Node::Kind::kScalar) {
+  void read_copy(Fields& outer, const YamlNode& node, Maybe<SecondCopy>& to) {
+    if (node.kind == YamlNode::Kind::kScalar) {
       if (node.text != "never")
         return outer.fault(node, "second_copy", "'never', after or after_quantile is wanted");
       to = {SecondCopy{}, node.place};
@@ -186,7 +187,7 @@
     to = {copy, node.place};
   }
 
-  void read_back_off(Fields& outer, const Node& node, Maybe<BackOff>& to) {
+  void read_back_off(Fields& outer, const YamlNode& node, Maybe<BackOff>& to) {
     Fields fields(node, outer.path() + ".back_off", faults_);
     const std::size_t before = faults_.size();
     Maybe<TimeUs> first, most;
@@ -205,10 +206,11 @@
     to = {b, node.place};
   }
 
-  void read_retry_on(Fields& outer, const Node& node, Maybe<RetryOn>& to) {
-    if (node.kind != Node::Kind::kSequence) return outer.fault(node, "retry_on", "a list of ends is wanted");
+  void read_retry_on(Fields& outer, const YamlNode& node, Maybe<RetryOn>& to) {
+    if (node.kind != YamlNode::Kind::kSequence)
+      return outer.fault(node, "retry_on", "a list of ends is wanted");
     RetryOn on;
-    for (const Node& item : node.items) {
+    for (const YamlNode& item : node.items) {
       const auto it = std::find_if(std::begin(kEnds), std::end(kEnds),
                                    [&](const auto& e) { return item.text == e.first; });
       if (it == std::end(kEnds))
@@ -220,9 +222,9 @@
     to = {on, node.place};
   }
 
-  void read_concurrency(Fields& outer, const Node& node, Maybe<Concurrency>& to) {
+  void read_concurrency(Fields& outer, const YamlNode& node, Maybe<Concurrency>& to) {
     Maybe<int> most, least;
-    if (node.kind == Node::Kind::kScalar) {
+    if (node.kind == YamlNode::Kind::kScalar) {
       outer.count("concurrency", most, 0, kCountMost);
       if (most) to = {Concurrency{most->value, 0}, node.place};
       return;
@@ -235,7 +237,7 @@
     if (faults_.size() == before && least && most) to = {Concurrency{most->value, least->value}, node.place};
   }
 
-  void read_rate(Fields& outer, const Node& node, Maybe<Rate>& to) {
+  void read_rate(Fields& outer, const YamlNode& node, Maybe<Rate>& to) {
     Fields fields(node, outer.path() + ".rate", faults_);
     const std::size_t before = faults_.size();
     Maybe<double> per_second, burst;
@@ -248,7 +250,7 @@
     to = {Rate{per_second->value, burst ? burst->value : 1}, node.place};
   }
 
-  void read_retries(const Node& node, const std::string& path, Maybe<RetryShare>& to) {
+  void read_retries(const YamlNode& node, const std::string& path, Maybe<RetryShare>& to) {
     Fields fields(node, path, faults_);
     const std::size_t before = faults_.size();
     Maybe<double> share, floor;
@@ -272,7 +274,7 @@
 
 ReadFile read_operator_file(std::string_view text, const Size& most) {
   ReadFile out;
-  const Node root = parse_yaml(text, most, out.faults);
+  const YamlNode root = parse_yaml(text, most, out.faults);
   if (!out.faults.empty()) return out;
   Reader(out.faults).read(root, out.file);
   std::stable_sort(out.faults.begin(), out.faults.end(), [](const Fault& a, const Fault& b) {
--- a/src/operator_file/yaml_tree.cpp
+++ b/src/operator_file/yaml_tree.cpp
@@ -31,40 +31,40 @@
   TreeBuilder(std::size_t nodes_most, std::vector<Fault>& faults)
       : nodes_most_(nodes_most), faults_(faults) {}
 
-  Node take() { return std::move(root_); }
+  YamlNode take() { return std::move(root_); }
 
   void OnDocumentStart(const YAML::Mark&) override {}
   void OnDocumentEnd() override {}
   void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override {
-    Node node = node_at(mark, Node::Kind::kNull, "", anchor);
+    YamlNode node = node_at(mark, YamlNode::Kind::kNull, "", anchor);
     put(std::move(node));
   }
   void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { stop(mark, "aliases are not taken"); }
   void OnScalar(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
                 const std::string& value) override {
-    Node node = node_at(mark, Node::Kind::kScalar, tag, anchor);
+    YamlNode node = node_at(mark, YamlNode::Kind::kScalar, tag, anchor);
     node.quoted = tag == "!";
     node.text = value;
-    if (!node.quoted && (value == "~" || value == "null")) node.kind = Node::Kind::kNull;
+    if (!node.quoted && (value == "~" || value == "null")) node.kind = YamlNode::Kind::kNull;
     put(std::move(node));
   }
   void OnSequenceStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
                        YAML::EmitterStyle::value) override {
-    open_.push_back({node_at(mark, Node::Kind::kSequence, tag, anchor), {}, {}, false});
+    open_.push_back({node_at(mark, YamlNode::Kind::kSequence, tag, anchor), {}, {}, false});
     check_depth(mark);
   }
   void OnSequenceEnd() override { close(); }
   void OnMapStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
                   YAML::EmitterStyle::value) override {
-    open_.push_back({node_at(mark, Node::Kind::kMap, tag, anchor), {}, {}, false});
+    open_.push_back({node_at(mark, YamlNode::Kind::kMap, tag, anchor), {}, {}, false});
     check_depth(mark);
   }
   void OnMapEnd() override { close(); }
 
  private:
   struct Open {
-    Node node;
-    Node key;  // of a map: the one whose value comes next
+    YamlNode node;
+    YamlNode key;  // of a map: the one whose value comes next
     std::unordered_set<std::string> keys;
     bool has_key = false;
   };
@@ -75,11 +75,12 @@
   }
 
   // Guards against anchors that expand without end, and tags that change what a value is.
-  Node node_at(const YAML::Mark& mark, Node::Kind kind, const std::string& tag, YAML::anchor_t anchor) {
+  YamlNode node_at(const YAML::Mark& mark, YamlNode::Kind kind, const std::string& tag,
+                   YAML::anchor_t anchor) {
     if (anchor != 0) stop(mark, "anchors are not taken");
     if (!tag.empty() && tag != "?" && tag != "!") stop(mark, "tags are not taken");
     if (++nodes_ > nodes_most_) stop(mark, "more values than the memory limit allows");
-    Node node;
+    YamlNode node;
     node.kind = kind;
     node.place = place_of(mark);
     return node;
@@ -90,18 +91,18 @@
   }
 
   void close() {
-    Node node = std::move(open_.back().node);
+    YamlNode node = std::move(open_.back().node);
     open_.pop_back();
     put(std::move(node));
   }
 
-  void put(Node node) {
+  void put(YamlNode node) {
     if (open_.empty()) {
       root_ = std::move(node);
       return;
     }
     Open& open = open_.back();
-    if (open.node.kind == Node::Kind::kSequence) {
+    if (open.node.kind == YamlNode::Kind::kSequence) {
       open.node.items.push_back(std::move(node));
     } else if (!open.has_key) {
       take_key(open, std::move(node));
@@ -111,8 +112,8 @@
     }
   }
 
-  void take_key(Open& open, Node key) {
-    if (key.kind != Node::Kind::kScalar) {
+  void take_key(Open& open, YamlNode key) {
+    if (key.kind != YamlNode::Kind::kScalar) {
       faults_.push_back({key.place, "", "a key must be a word"});
     } else if (!open.keys.insert(key.text).second) {
       faults_.push_back({key.place, "", "the key '" + key.text + "' stands here twice"});
@@ -124,7 +125,7 @@
   std::size_t nodes_most_;
   std::vector<Fault>& faults_;
   std::vector<Open> open_;
-  Node root_;
+  YamlNode root_;
   std::size_t nodes_ = 0;
 };
 
@@ -182,7 +183,7 @@
 
 }  // namespace
 
-Node parse_yaml(std::string_view text, const Size& most, std::vector<Fault>& faults) {
+YamlNode parse_yaml(std::string_view text, const Size& most, std::vector<Fault>& faults) {
   if (!fit_to_parse(text, most.bytes, faults)) return {};
   TextBuffer buffer(text);
   std::istream in(&buffer);
@@ -190,7 +191,7 @@
   try {
     YAML::Parser parser(in);
     parser.HandleNextDocument(builder);
-    Node root = builder.take();
+    YamlNode root = builder.take();
     if (parser.HandleNextDocument(builder)) faults.push_back({{1, 1}, "", "more than one document"});
     return root;
   } catch (const Stop&) {
--- a/src/operator_file/yaml_tree.h
+++ b/src/operator_file/yaml_tree.h
@@ -21,22 +21,22 @@
 
 struct Member;
 
-struct Node {
+struct YamlNode {
   enum class Kind { kNull, kScalar, kSequence, kMap };
   Kind kind = Kind::kNull;
   bool quoted = false;  // of kScalar
   Place place;
   std::string text;             // of kScalar
-  std::vector<Node> items;      // of kSequence
+  std::vector<YamlNode> items;  // of kSequence
   std::vector<Member> members;  // of kMap
 };
 
 struct Member {
-  Node key;  // a scalar
-  Node value;
+  YamlNode key;  // a scalar
+  YamlNode value;
 };
 
 // The only document of `text`. Adds what is wrong with its form to `faults`; then the tree is not to be used.
-Node parse_yaml(std::string_view text, const Size& most, std::vector<Fault>& faults);
+YamlNode parse_yaml(std::string_view text, const Size& most, std::vector<Fault>& faults);
 
 }  // namespace orchidgw::operator_file
--- a/src/sample/main.cpp
+++ b/src/sample/main.cpp
@@ -34,7 +34,7 @@
   Folder(const Folder&) = delete;
   Folder& operator=(const Folder&) = delete;
   std::string write(const std::string& name, const std::string& text) const {
-    const std::string path = (path_ / name).string();
+    std::string path = (path_ / name).string();
     std::ofstream(path) << text;
     return path;
   }
@@ -52,6 +52,7 @@
 pid_t start(const std::string& program, const std::string& config, const std::string& limits) {
   std::vector<std::string> words = {program, "serve", "--config", config, "--limits", limits};
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words) argv.push_back(word.data());
   argv.push_back(nullptr);
   // The signals that this process waits for are the controller's to take, too.
@@ -121,14 +122,12 @@
   return 1;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int run_command(int argc, char** argv) {
   CLI::App app("orchidgw on loopback beside two stand-in engines", "orchidgw_sample");
   app.require_subcommand(1);
   std::string listen = "127.0.0.1:7001";
-  CLI::App* run_command = app.add_subcommand("run", "start the controller and the stand-ins");
-  run_command->add_option("--listen", listen, "where clients connect")->capture_default_str();
+  CLI::App* run_it = app.add_subcommand("run", "start the controller and the stand-ins");
+  run_it->add_option("--listen", listen, "where clients connect")->capture_default_str();
   Question question;
   CLI::App* ask_command = app.add_subcommand("ask", "send one query and print its answer");
   ask_command->add_option("statement", question.statement, "the statement")->required();
@@ -140,11 +139,19 @@
   ask_command->add_option("--wait-ms", question.wait_ms, "how long the client waits")->capture_default_str();
   try {
     app.parse(argc, argv);
-    return run_command->parsed() ? run(listen) : ask_once(question);
+    return run_it->parsed() ? run(listen) : ask_once(question);
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : 2;
   } catch (const Poco::Exception& e) {
-    std::cerr << "orchidgw_sample: " << question.address << ": " << e.displayText() << '\n';
+    throw std::runtime_error(question.address + ": " + e.displayText());
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run_command(argc, argv);
   } catch (const std::exception& e) {
     std::cerr << "orchidgw_sample: " << e.what() << '\n';
   }
