Reduced service levels: ladders entered on conditions, left by trials, with replay

src/service_level: meters for ten signals, ladders with hysteresis by time and by two thresholds, trials in parts, a bound on changes, levels that let go where they do not help, shedding by hash so that asking again changes nothing, refusals spread in time, tenants with ladders of their own, effects on attempts, copies, holds, limits, grants and priorities through QueryLimits. Joined in the reducer; what waits is answered at once when a level sheds it. SIGUSR1 prints the recorded signals, orchidgw level replay plays them. Off without levels in the file.

--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -18,14 +18,14 @@
   kAttempts,     // the route's most attempts
   kOutcome,      // the route does not try again after such an end
   kRetryShare,   // the retry budget of the route, or of all
-  kSpareTime,    // no time left for the back-off and another attempt
+  kShed,         // a reduced service level sheds it
 };
-inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kSpareTime) + 1;
+inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kShed) + 1;
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasons> kNames = {
-      "none",          "decision", "rate",    "concurrency",  "line_full",   "closed",
-      "held_too_long", "attempts", "outcome", "retry_budget", "no_time_left"};
+      "none",          "decision", "rate",    "concurrency",  "line_full", "closed",
+      "held_too_long", "attempts", "outcome", "retry_budget", "shed"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -49,6 +49,14 @@
   explain->add_option("--tenant", out.explain.tenant, "its tenant");
   explain->add_option("--table", out.explain.table, "the first table of its statement, like sales_17.orders");
   explain->add_flag("--key", out.explain.keyed, "it carries an idempotency key");
+  CLI::App* level = app.add_subcommand("level", "reduced service levels");
+  level->require_subcommand(1);
+  CLI::App* replay =
+      level->add_subcommand("replay", "play recorded signals through the levels and print the changes");
+  replay
+      ->add_option("signals", out.signals,
+                   "what SIGUSR1 printed behind 'signals ', as CSV; - for standard input")
+      ->required();
   CLI::App* version = app.add_subcommand("version", "print the version");
   try {
     app.parse(argc, argv);
@@ -58,6 +66,7 @@
   }
   if (check->parsed()) out.command = CommandLine::Command::kCheck;
   if (explain->parsed()) out.command = CommandLine::Command::kExplain;
+  if (replay->parsed()) out.command = CommandLine::Command::kReplay;
   if (version->parsed()) out.command = CommandLine::Command::kVersion;
   return out;
 }
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -21,10 +21,11 @@
 };
 
 struct CommandLine {
-  enum class Command { kServe, kCheck, kExplain, kVersion };
+  enum class Command { kServe, kCheck, kExplain, kReplay, kVersion };
   Command command = Command::kServe;
   configuration::Sources sources;
   Explain explain;
+  std::string signals;  // of kReplay: the recording
 };
 
 // Nothing where the process is to end with `exit_code`: help was asked for, or the line is wrong, and it was
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -5,6 +5,7 @@
 
 #include "limits/check.h"
 #include "operator_file/operator_file.h"
+#include "service_level/check.h"
 
 namespace orchidgw::configuration {
 namespace {
@@ -63,6 +64,9 @@
   const Settings& settings = running != nullptr ? *running : out.controller.settings;
   const auto faults = limits::check(settings, read.file.limits, routes_most(out.controller.memory_mb));
   if (!faults.empty()) refuse(path, faults);
+  const auto level_faults = service_level::check(settings, read.file.levels);
+  if (!level_faults.empty()) refuse(path, level_faults);
+  out.levels = std::make_shared<const service_level::LevelFile>(std::move(read.file.levels));
   out.limits = std::make_shared<const limits::LimitSet>(settings, read.file.limits, ++last_version);
   out.log = log_choice(sources, read.file.log);
   return out;
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -25,7 +25,8 @@
 
 struct Configuration {
   config::ControllerConfig controller;
-  std::shared_ptr<const limits::LimitSet> limits;  // null: no operators' file
+  std::shared_ptr<const limits::LimitSet> limits;          // null: no operators' file
+  std::shared_ptr<const service_level::LevelFile> levels;  // null: no operators' file
   log::Choice log;
 };
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -13,6 +13,7 @@
 #include "core/payload.h"
 #include "decision/decision.h"
 #include "limits/limit_set.h"
+#include "service_level/level.h"
 
 namespace orchidgw::core {
 
@@ -80,9 +81,10 @@
 
 struct TimePassed {};  // timers that are due fire
 
-// A file's limits are in force from now on.
+// A file's limits and levels are in force from now on.
 struct LimitsChanged {
   std::shared_ptr<const limits::LimitSet> set;
+  std::shared_ptr<const service_level::LevelFile> levels = nullptr;  // null: none
 };
 
 using Event = std::variant<EnginesChanged, CallAnswered, CallEnded, RequestAborted, ClientClosed, TimePassed,
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,6 +1,7 @@
 #include "core/reducer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 #include <sstream>
@@ -9,6 +10,11 @@
 #include "core/table_group.h"
 
 namespace orchidgw::core {
+namespace {
+
+constexpr TimeUs kUsPerSecond = 1'000'000;
+
+}  // namespace
 
 Reducer::Reducer(const Settings& settings, std::uint64_t seed, metrics::Counters& counters,
                  ProtocolBounds bounds)
@@ -49,6 +55,7 @@
     }
   }
   list_known_ = true;
+  if (levels_.on()) tell_levels_of_engines();
   module_->on_engines(now_, event.kind, entries, *this);
 }
 
@@ -114,6 +121,13 @@
   ++counters_.taken;
   touched_.push_back(id);
   const ClientRequest& r = query.request;
+  if (levels_.on()) {
+    levels_.meters()->taken(now_, r.class_name, r.tenant);
+    query.deadline = now_ + r.time_budget;
+    const service_level::ShedQuery seen = as_shed_sees(query);
+    if (levels_.sheds(seen) != nullptr)
+      return turn_away(id, Reason::kShed, levels_.come_back_in(seen, settings_.limits.max_retry_after));
+  }
   const limits::Verdict verdict =
       limiter_.admit(now_, {id, class_index, r.tenant, use.table, !r.idempotency_key.empty(), r.time_budget});
   query.deadline = now_ + limiter_.time_for(id, r.time_budget);
@@ -146,7 +160,7 @@
   q.cost_estimate = query.request.cost_estimate;
   q.repeat = query.request.repeat;
   q.waited = now_ - query.taken_at;
-  q.limits = limiter_.pass_of(id);
+  q.limits = levels_.over(limiter_.pass_of(id), query.request.tenant, query.taken_at);
   if (trace_) trace_taken(q, query);
   module_->on_query(now_, q, *this);
 }
@@ -161,7 +175,79 @@
   }
 }
 
-void Reducer::on(LimitsChanged& event) { limiter_.put_in_force(now_, std::move(event.set)); }
+void Reducer::on(LimitsChanged& event) {
+  levels_.put_in_force(now_, std::move(event.levels));
+  if (event.set) limiter_.put_in_force(now_, std::move(event.set));
+  limiter_.set_scale(now_, levels_.limits_scale());
+  if (levels_.on()) tell_levels_of_engines();
+  if (!levels_.on() || sampling_) return;
+  sampling_ = true;
+  set_timer_for(TimerKind::kSample, now_ + service_level::kSampleEvery, 0, 0);
+}
+
+// --- Reduced service levels -------------------------------------------------------------------------------
+
+service_level::ShedQuery Reducer::as_shed_sees(const QueryState& query) const {
+  const ClientRequest& r = query.request;
+  const bool keyed = !r.idempotency_key.empty();
+  return {r.class_name, r.tenant, keyed ? r.idempotency_key : r.statement, keyed && r.repeat};
+}
+
+void Reducer::sample_signals(TimeUs due) {
+  sampling_ = levels_.on();
+  if (!levels_.on()) return;
+  set_timer_for(TimerKind::kSample, now_ + service_level::kSampleEvery, 0, 0);
+  service_level::Readings readings;
+  readings.loop_lag = now_ - due;
+  readings.buffers = buffers_used_;
+  for (const auto& [id, query] : queries_) {
+    if (query.ended || !query.attempts.empty()) continue;
+    ++readings.line;
+    readings.line_age = std::max(readings.line_age, now_ - query.taken_at);
+  }
+  bool moved = false;
+  for (const service_level::Change& change : levels_.sample(now_, readings)) {
+    std::ostringstream line;
+    line << "service level " << change.from;
+    if (!change.trial) line << " -> " << change.to;
+    line << ": " << change.reason << "; stayed " << change.stayed / kUsPerSecond << " s";
+    emit(LogText{log::Level::kWarn, line.str()});
+    moved = moved || !change.trial;
+  }
+  if (!moved) return;
+  limiter_.set_scale(now_, levels_.limits_scale());
+  shed_those_held();
+}
+
+// A change of level meets those that wait, too: what is shed now is answered at once. None was sent anywhere.
+void Reducer::shed_those_held() {
+  std::vector<QueryId> held;
+  for (const auto& [id, query] : queries_)
+    if (!query.ended && query.attempts.empty() && levels_.sheds(as_shed_sees(query)) != nullptr)
+      held.push_back(id);
+  std::sort(held.begin(), held.end());
+  for (const QueryId id : held) {
+    QueryState& query = queries_.at(id);
+    if (query.ended || !query.attempts.empty()) continue;  // sent meanwhile, in the place of one before
+    const bool with_module = query.let_in;
+    turn_away(id, Reason::kShed, levels_.come_back_in(as_shed_sees(query), settings_.limits.max_retry_after));
+    if (with_module) module_->on_client_gone(now_, id, *this);
+  }
+}
+
+void Reducer::tell_levels_of_engines() {
+  std::vector<EngineId> listed;
+  std::size_t in_service = 0;
+  for (const auto& [id, listing] : engines_) {
+    listed.push_back(id);
+    in_service += listing.entry.state == EngineState::kInService ? 1 : 0;
+  }
+  levels_.meters()->engines(listed, in_service);
+}
+
+void Reducer::note_answered(const QueryState& query, bool late) {
+  if (levels_.on()) levels_.meters()->answered(now_, query.request.class_name, query.request.tenant, late);
+}
 
 void Reducer::on(RequestAborted& event) { leave({event.client, event.tag}); }
 
@@ -430,16 +516,21 @@
     outcome.told_cost = a.told_cost;
     outcome.told_memory_mb = a.told_memory_mb;
   }
+  const ClassSettings& c = settings_.classes[static_cast<std::size_t>(query.class_index)];
+  const TimeUs expected = query.request.cost_estimate / c.threads;
+  if (pending.kind == OutcomeKind::kOk && expected > 0 && levels_.on() && !c.load)
+    levels_.meters()->attempt(now_, a.engine,
+                              static_cast<double>(outcome.latency) / static_cast<double>(expected));
   if (pending.kind == OutcomeKind::kOk && !query.ended) {
+    const double aim = static_cast<double>(c.aim) + c.aim_stretch * static_cast<double>(expected);
+    note_answered(query, static_cast<double>(now_ - query.taken_at) > aim);
     ++counters_.served;
     if (trace_) trace_answered(pending.query, "served", query);
     emit(AnswerServed{query.client, query.tag, std::move(a.rows)});
     end(query);
   }
   touched_.push_back(pending.query);
-  const int threads = settings_.classes[static_cast<std::size_t>(query.class_index)].threads;
-  limiter_.attempt_ended(now_, pending.query, pending.kind, outcome.latency,
-                         query.request.cost_estimate / threads);
+  limiter_.attempt_ended(now_, pending.query, pending.kind, outcome.latency, expected);
   if (trace_) trace_ended(outcome, query);
   module_->on_outcome(now_, outcome, *this);
 }
@@ -470,6 +561,8 @@
     if (timer.kind == TimerKind::kModule) {
       counters_.timers.add(now_ - at);
       module_->on_timer(now_, timer.token, *this);
+    } else if (timer.kind == TimerKind::kSample) {
+      sample_signals(at);
     } else if (find_query(timer.query) == nullptr) {
       continue;
     } else if (timer.kind == TimerKind::kStop) {
@@ -520,6 +613,8 @@
   if (query == nullptr || query->ended) return;
   ++counters_.refused;
   ++counters_.refusals[static_cast<std::size_t>(reason)];
+  if (levels_.on() && reason != Reason::kShed)
+    levels_.meters()->refused(now_, query->request.class_name, query->request.tenant);
   if (trace_) trace_answered(id, name_of(reason), *query);
   emit(AnswerRefused{query->client, query->tag, retry_after});
   end(*query);
@@ -530,6 +625,7 @@
   QueryState* query = find_query(id);
   if (query == nullptr || query->ended) return;
   ++counters_.failed;
+  note_answered(*query, true);
   if (trace_) trace_answered(id, "failed", *query);
   emit(AnswerFailed{query->client, query->tag, ""});
   end(*query);
@@ -545,9 +641,11 @@
 void Reducer::set_terms(QueryId id, int priority, double grant_mb) {
   QueryState* query = find_query(id);
   if (query == nullptr) return;
-  const bool changed = query->priority != priority;
-  query->priority = priority;
-  query->grant_mb = grant_mb;
+  const service_level::Combined level = levels_.effects_for(query->request.tenant);
+  const int shifted = std::clamp(priority + level.priority, 0, 3);
+  const bool changed = query->priority != shifted;
+  query->priority = shifted;
+  query->grant_mb = level.grants < 1 ? std::floor(grant_mb * level.grants) : grant_mb;
   for (std::size_t n = 0; changed && n < query->attempts.size(); ++n) {
     if (query->attempts[n].phase == Phase::kRunning) call(id, n, CallKind::kPriority);
   }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -18,6 +18,7 @@
 #include "decision/decision.h"
 #include "limits/limiter.h"
 #include "metrics/counters.h"
+#include "service_level/service_level.h"
 
 namespace orchidgw::core {
 
@@ -44,7 +45,9 @@
 
   std::optional<TimeUs> next_due() const;
   const limits::Limiter& limiter() const { return limiter_; }
-  bool ready() const { return list_known_; }  // the module can decide
+  const service_level::ServiceLevel& levels() const { return levels_; }
+  void set_buffers_used(double share) { buffers_used_ = share; }  // as the levels' signals see it
+  bool ready() const { return list_known_; }                      // the module can decide
   std::size_t open_requests() const { return open_.size(); }
   std::size_t open_requests_of(ClientId client) const;
   std::size_t held_bytes() const { return held_bytes_; }  // statements of all queries
@@ -96,7 +99,7 @@
     CallKind kind = CallKind::kNews;
   };
 
-  enum class TimerKind { kModule, kStop, kForgotten };
+  enum class TimerKind { kModule, kStop, kForgotten, kSample };
   struct Timer {
     TimerKind kind = TimerKind::kModule;
     std::uint64_t token = 0;  // of kModule
@@ -131,6 +134,11 @@
   void let_in(QueryId id);
   void turn_away(QueryId id, Reason reason, TimeUs retry_after);
   void release_those_due();
+  service_level::ShedQuery as_shed_sees(const QueryState& query) const;
+  void sample_signals(TimeUs due);
+  void shed_those_held();
+  void tell_levels_of_engines();
+  void note_answered(const QueryState& query, bool late);
   void leave(const OpenKey& key);
 
   // The course of an attempt.
@@ -199,6 +207,9 @@
   // References of all queries that an engine may have, lest two share one there.
   std::unordered_set<std::string> references_;
   limits::Limiter limiter_;
+  service_level::ServiceLevel levels_;
+  double buffers_used_ = 0;
+  bool sampling_ = false;  // the timer for the next sample is set
   std::size_t held_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   QueryId last_query_ = 0;
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -24,7 +24,7 @@
   std::unordered_map<std::string, std::shared_ptr<RouteState>> kept;
   for (const auto& route : set->routes()) {
     std::shared_ptr<RouteState> state = state_for(route->name);
-    set_terms(*state, now, route->bounds);
+    set_terms(*state, now, route->bounds, scale_);
     schedule(now, state);
     kept[route->name] = std::move(state);
   }
@@ -41,6 +41,17 @@
   set_ = std::move(set);
 }
 
+void Limiter::set_scale(TimeUs now, double scale) {
+  if (scale == scale_) return;
+  scale_ = scale;
+  if (!set_) return;
+  for (const auto& route : set_->routes()) {
+    const auto& state = states_.at(route->name);
+    set_terms(*state, now, route->bounds, scale_);
+    schedule(now, state);
+  }
+}
+
 std::shared_ptr<RouteState> Limiter::state_for(const std::string& name) {
   if (const auto it = states_.find(name); it != states_.end()) return it->second;
   auto state = std::make_shared<RouteState>();
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -46,6 +46,8 @@
   // From now on. Queries under way keep the limits with which they began; counts carry over by route name.
   void put_in_force(TimeUs now, std::shared_ptr<const LimitSet> set);
   const LimitSet* in_force() const { return set_.get(); }
+  // Scales all rates and bounds on queries under way, above 0 to 1; a reduced service level does so.
+  void set_scale(TimeUs now, double scale);
 
   Verdict admit(TimeUs now, const Arrival& arrival);
   // The whole time of a query that is under limits: its budget or the route's time-out, the smaller.
@@ -104,6 +106,7 @@
   std::set<std::pair<TimeUs, QueryId>> expiries_;      // of those that wait
   std::map<Wake, std::shared_ptr<RouteState>> wakes_;  // lines to be looked at
   std::size_t waiting_ = 0;
+  double scale_ = 1;
   std::uint64_t last_serial_ = 0;
 };
 
--- a/src/limits/route_state.cpp
+++ b/src/limits/route_state.cpp
@@ -1,5 +1,7 @@
 #include "limits/route_state.h"
 
+#include <algorithm>
+
 namespace orchidgw::limits {
 namespace {
 
@@ -27,9 +29,17 @@
 
 }  // namespace
 
-void set_terms(RouteState& state, TimeUs now, const Bounds& bounds) {
-  set_rate(state, bounds.rate);
-  set_concurrency(state, bounds.concurrency);
+void set_terms(RouteState& state, TimeUs now, const Bounds& bounds, double scale) {
+  Maybe<Rate> rate = bounds.rate;
+  if (rate) rate->value.per_second *= scale;
+  Maybe<Concurrency> concurrency = bounds.concurrency;
+  if (concurrency && concurrency->value.most > 0) {
+    Concurrency& c = concurrency->value;
+    c.most = std::max(1, static_cast<int>(c.most * scale));
+    c.least = std::min(c.least, c.most);
+  }
+  set_rate(state, rate);
+  set_concurrency(state, concurrency);
   set_retries(state, now, bounds.retries);
   state.line_most = bounds.line ? bounds.line->value : kLineUnlessStated;
 }
--- a/src/limits/route_state.h
+++ b/src/limits/route_state.h
@@ -36,7 +36,8 @@
   bool token_ready(TimeUs now) const { return !bucket || bucket->ready(now); }
 };
 
-// Brings a state to the terms of a file; what was counted stays where its kind of limit stays.
-void set_terms(RouteState& state, TimeUs now, const Bounds& bounds);
+// Brings a state to the terms of a file, rates and bounds scaled (above 0 to 1; what is open stays open);
+// what was counted stays where its kind of limit stays.
+void set_terms(RouteState& state, TimeUs now, const Bounds& bounds, double scale);
 
 }  // namespace orchidgw::limits
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include "cli/command_line.h"
 #include "cli/commands.h"
+#include "cli/replay.h"
 #include "configuration/configuration.h"
 #include "log/bounded_output.h"
 #include "log/log.h"
@@ -54,6 +55,8 @@
       return orchidgw::cli::run_check(line.sources, std::cout, std::cerr);
     case Command::kExplain:
       return orchidgw::cli::run_explain(line, std::cout, std::cerr);
+    case Command::kReplay:
+      return orchidgw::cli::run_replay(line.sources, line.signals, std::cout, std::cerr);
     case Command::kVersion:
       return orchidgw::cli::run_version(std::cout);
   }
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -54,14 +54,15 @@
     : Controller(configuration.controller, listener, log, std::move(reload)) {
   log_.choose(configuration.log);
   reducer_.set_trace(log.on(log::Level::kDebug, log::Component::kCore));
-  if (configuration.limits) put_limits_in_force(configuration.limits);
+  if (configuration.limits) put_limits_in_force(configuration.limits, configuration.levels);
 }
 
 Controller::Controller(const config::ControllerConfig& config, int listener, log::Logger& log, Reload reload)
     : log_(log),
       reload_(std::move(reload)),
       settings_(config.settings),
-      pool_(bytes_for(config, kPoolPart) / kBufferBytes, counters_),
+      buffers_most_(std::max<std::size_t>(bytes_for(config, kPoolPart) / kBufferBytes, 1)),
+      pool_(buffers_most_, counters_),
       statement_bytes_most_(bytes_for(config, kStatementsPart)),
       reactor_([this] { return turn(); }),
       context_{reactor_,
@@ -119,6 +120,7 @@
 
 // Timers fire once a turn: one that is set for at once must not hold up the requests.
 void Controller::act(TimeUs now) {
+  reducer_.set_buffers_used(static_cast<double>(counters_.buffers.now) / static_cast<double>(buffers_most_));
   act_on_news(now);
   const auto due = reducer_.next_due();
   if (due && *due <= now) apply(now, core::TimePassed{});
@@ -222,15 +224,18 @@
   const core::Address& at = fresh.controller.change_log;
   log_.write(log::Level::kInfo, log::Component::kConfig,
              "configuration read anew: the change log is at " + at.host + ":" + std::to_string(at.port));
-  if (fresh.limits) return put_limits_in_force(fresh.limits);
+  if (fresh.limits) return put_limits_in_force(fresh.limits, fresh.levels);
   if (reducer_.limiter().in_force() == nullptr) return;
-  put_limits_in_force(std::make_shared<const limits::LimitSet>(settings_, limits::LimitFile{}, 0));
+  put_limits_in_force(std::make_shared<const limits::LimitSet>(settings_, limits::LimitFile{}, 0), nullptr);
 }
 
-void Controller::put_limits_in_force(std::shared_ptr<const limits::LimitSet> set) {
+void Controller::put_limits_in_force(std::shared_ptr<const limits::LimitSet> set,
+                                     std::shared_ptr<const service_level::LevelFile> levels) {
   const auto routes = static_cast<std::int64_t>(set->routes().size()) - 1;
-  apply(unix_now(), core::LimitsChanged{std::move(set)});
-  log_.write(log::Level::kInfo, log::Component::kLimits, "limits in force", {{"routes", routes}});
+  const auto count = static_cast<std::int64_t>(levels ? levels->levels.size() : 0);
+  apply(unix_now(), core::LimitsChanged{std::move(set), std::move(levels)});
+  log_.write(log::Level::kInfo, log::Component::kLimits, "limits in force",
+             {{"routes", routes}, {"levels", count}});
 }
 
 // Ends only when nothing is open and nothing can still arrive.
@@ -255,6 +260,16 @@
   counters_.descriptors.set(counters_.clients.now + counters_.engine_connections.now + kAlwaysOpen);
 }
 
-void Controller::print_counters() { metrics::print(counters_, log_.stream()); }
+void Controller::print_counters() {
+  std::ostream& out = log_.stream();
+  const service_level::ServiceLevel& levels = reducer_.levels();
+  for (const auto& [level, time] : levels.time_in())
+    out << "counter level." << level << ".time_ms " << time / 1000 << '\n';
+  if (levels.recorder() != nullptr) {
+    out << "counter level.changes " << levels.changes_made() << " now " << levels.general_level() << '\n';
+    levels.recorder()->write(out, "signals ");
+  }
+  metrics::print(counters_, out);
+}
 
 }  // namespace orchidgw::net
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -45,7 +45,8 @@
   void on_signal(int signal);
   void reload();
   void put_in_force(const configuration::Configuration& fresh);
-  void put_limits_in_force(std::shared_ptr<const limits::LimitSet> set);
+  void put_limits_in_force(std::shared_ptr<const limits::LimitSet> set,
+                           std::shared_ptr<const service_level::LevelFile> levels);
   void stop_if_done(TimeUs now);
   void count_descriptors();
   void print_counters();
@@ -55,6 +56,7 @@
   Reload reload_;
   Settings settings_;
   metrics::Counters counters_;
+  std::size_t buffers_most_;
   BufferPool pool_;
   std::size_t statement_bytes_most_;
   Reactor reactor_;
--- a/src/operator_file/operator_file.h
+++ b/src/operator_file/operator_file.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "limits/route.h"
+#include "service_level/level.h"
 
 namespace orchidgw::operator_file {
 
@@ -29,6 +30,7 @@
 struct OperatorFile {
   LogChoice log;
   limits::LimitFile limits;
+  service_level::LevelFile levels;
 };
 
 struct ReadFile {
--- a/src/operator_file/reader.cpp
+++ b/src/operator_file/reader.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "operator_file/fields.h"
+#include "operator_file/levels_reader.h"
 #include "operator_file/operator_file.h"
 
 namespace orchidgw::operator_file {
@@ -41,6 +42,7 @@
     }
     if (const YamlNode* retries = top.find("retries")) read_retries(*retries, "retries", file.limits.retries);
     if (const YamlNode* routes = top.find("routes")) read_routes(top, *routes, file.limits.routes);
+    if (const YamlNode* levels = top.find("levels")) read_levels(*levels, faults_, file.levels);
     top.finish();
   }
 
--- /dev/null
+++ b/src/service_level/service_level.cpp
@@ -0,0 +1,238 @@
+#include "service_level/service_level.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace orchidgw::service_level {
+namespace {
+
+void collect(const Condition& condition, std::vector<SignalKey>& to) {
+  if (condition.kind == Condition::Kind::kLeaf) {
+    if (std::find(to.begin(), to.end(), condition.key) == to.end()) to.push_back(condition.key);
+    return;
+  }
+  for (const Condition& part : condition.parts) collect(part, to);
+}
+
+void add(Combined& to, const Effects& effects) {
+  to.no_second_copies = to.no_second_copies || effects.no_second_copies;
+  to.no_further_attempts = to.no_further_attempts || effects.no_further_attempts;
+  if (effects.longest_hold > 0)
+    to.longest_hold =
+        to.longest_hold > 0 ? std::min(to.longest_hold, effects.longest_hold) : effects.longest_hold;
+  to.grants *= effects.grants;
+  to.priority += effects.priority;
+}
+
+std::uint64_t mixed(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+double unit(std::uint64_t bits) { return static_cast<double>(mixed(bits) >> 11) * 0x1p-53; }
+
+std::uint64_t hash_of(const ShedQuery& query) {
+  const std::hash<std::string_view> hash;
+  return mixed(hash(query.identity)) ^ mixed(hash(query.class_name) + 1) ^ mixed(hash(query.tenant) + 2);
+}
+
+bool matches(const Shed& shed, const ShedQuery& query) {
+  return (shed.class_name.empty() || shed.class_name == query.class_name) &&
+         (shed.tenant.empty() || shed.tenant == query.tenant);
+}
+
+}  // namespace
+
+std::vector<SignalKey> signals_of(const LevelFile& file) {
+  std::vector<SignalKey> out;
+  for (const Level& level : file.levels) {
+    collect(level.enter, out);
+    collect(level.leave, out);
+  }
+  return out;
+}
+
+// Looks at the levels in force at each question: a query that began before a level is under it too. It can
+// forbid and shorten, as all limits.
+class ServiceLevel::Leveled final : public QueryLimits {
+ public:
+  Leveled(std::shared_ptr<const QueryLimits> inner, std::shared_ptr<const InForce> in_force,
+          std::string tenant, TimeUs taken_at)
+      : inner_(std::move(inner)),
+        in_force_(std::move(in_force)),
+        tenant_(std::move(tenant)),
+        taken_at_(taken_at) {}
+
+  bool may_send(TimeUs now, int sent, int in_flight) const override {
+    if (sent > 0 && now_forbids(in_flight > 0)) return false;
+    return !inner_ || inner_->may_send(now, sent, in_flight);
+  }
+  bool may_follow(TimeUs now, OutcomeKind last, int sent) const override {
+    return !effects().no_further_attempts && (!inner_ || inner_->may_follow(now, last, sent));
+  }
+  TimeUs next_send_at() const override { return inner_ ? inner_->next_send_at() : 0; }
+  TimeUs stop_at(TimeUs now, TimeUs deadline) const override {
+    return inner_ ? inner_->stop_at(now, deadline) : deadline;
+  }
+  TimeUs hold_until(TimeUs last) const override {
+    const TimeUs until = inner_ ? inner_->hold_until(last) : last;
+    const TimeUs longest = effects().longest_hold;
+    return longest > 0 ? std::min(until, taken_at_ + longest) : until;
+  }
+  bool copy_due(TimeUs now, TimeUs sent_at, int sent) const override {
+    return inner_ && !now_forbids(true) && inner_->copy_due(now, sent_at, sent);
+  }
+
+ private:
+  const Combined& effects() const {
+    const auto it = in_force_->by_tenant.find(tenant_);
+    return it == in_force_->by_tenant.end() ? in_force_->general : it->second;
+  }
+  bool now_forbids(bool copy) const {
+    const Combined& e = effects();
+    return e.no_further_attempts || (copy && e.no_second_copies);
+  }
+
+  std::shared_ptr<const QueryLimits> inner_;
+  std::shared_ptr<const InForce> in_force_;
+  std::string tenant_;
+  TimeUs taken_at_;
+};
+
+void ServiceLevel::put_in_force(TimeUs now, std::shared_ptr<const LevelFile> file) {
+  if (file && file->levels.empty()) file = nullptr;
+  std::vector<Scope> scopes;
+  if (file) {
+    std::vector<std::string> tenants;  // in the order of the file
+    for (const Level& level : file->levels)
+      if (std::find(tenants.begin(), tenants.end(), level.tenant) == tenants.end())
+        tenants.push_back(level.tenant);
+    for (const std::string& tenant : tenants) {
+      std::vector<const Level*> levels;
+      for (const Level& level : file->levels)
+        if (level.tenant == tenant) levels.push_back(&level);
+      Scope scope{tenant, std::make_unique<Ladder>(std::move(levels), file->trial, file->changes)};
+      for (const Scope& before : scopes_)
+        if (before.tenant == tenant) scope.ladder->take_over(*before.ladder);
+      if (file->manual && file->manual->until > now)
+        scope.ladder->set_by_hand(file->manual->level, file->manual->until);
+      scopes.push_back(std::move(scope));
+    }
+    meters_ = std::make_unique<Meters>(signals_of(*file));
+    recorder_ = std::make_unique<Recorder>(signals_of(*file));
+  } else {
+    meters_.reset();
+    recorder_.reset();
+  }
+  scopes_ = std::move(scopes);
+  file_ = std::move(file);
+  renew_effects();
+}
+
+std::vector<Change> ServiceLevel::sample(TimeUs now, const Readings& readings) {
+  std::vector<Change> changes;
+  if (!on()) return changes;
+  meters_->sample(now, readings.line, readings.line_age, readings.loop_lag, readings.buffers);
+  recorder_->record(now, *meters_);
+  const TimeUs passed = last_sample_ > 0 ? std::max<TimeUs>(now - last_sample_, 0) : 0;
+  last_sample_ = now;
+  for (const Scope& scope : scopes_) {
+    const Level* level = scope.ladder->level();
+    (*time_in_)[(scope.tenant.empty() ? "" : scope.tenant + ".") + (level ? level->name : kFullService)] +=
+        passed;
+    if (auto change = scope.ladder->sample(now, *meters_)) changes.push_back(std::move(*change));
+  }
+  if (!changes.empty()) renew_effects();
+  return changes;
+}
+
+// Of a ladder all levels up to its own act: a level adds to those below it.
+void ServiceLevel::renew_effects() {
+  *in_force_ = {};
+  const auto add_all = [&](const Scope& scope, Combined& to) {
+    if (!file_) return;
+    std::size_t at = 0;
+    for (const Level& level : file_->levels)
+      if (level.tenant == scope.tenant && at++ < scope.ladder->height()) add(to, level.effects);
+  };
+  for (const Scope& scope : scopes_)
+    if (scope.tenant.empty()) add_all(scope, in_force_->general);
+  for (const Scope& scope : scopes_) {
+    if (scope.tenant.empty()) continue;
+    Combined& own = in_force_->by_tenant[scope.tenant];
+    own = in_force_->general;
+    add_all(scope, own);
+  }
+}
+
+double ServiceLevel::roll(const ShedQuery& query, const Ladder& ladder) const {
+  // Anew with each change, so that it is not always the same clients; the same while the level holds, so that
+  // asking again changes nothing.
+  return unit(hash_of(query) + 0x9e3779b97f4a7c15ULL * (ladder.changes_made() + 1));
+}
+
+const Level* ServiceLevel::sheds(const ShedQuery& query) const {
+  if (query.keyed_repeat) return nullptr;
+  for (const Scope& scope : scopes_) {
+    if (scope.ladder->height() == 0) continue;
+    if (!scope.tenant.empty() && scope.tenant != query.tenant) continue;
+    const double rolled = roll(query, *scope.ladder);
+    std::size_t at = 0;
+    for (const Level& level : file_->levels) {
+      if (level.tenant != scope.tenant) continue;
+      if (at++ >= scope.ladder->height()) break;
+      const bool top = at == scope.ladder->height();
+      const double in = top ? scope.ladder->let_in_part() : 0;
+      for (const Shed& shed : level.effects.shed)
+        if (matches(shed, query) && rolled < shed.share * (1 - in)) return &level;
+    }
+  }
+  return nullptr;
+}
+
+bool ServiceLevel::sheds_any() const {
+  return std::any_of(scopes_.begin(), scopes_.end(), [](const Scope& s) { return s.ladder->height() > 0; });
+}
+
+TimeUs ServiceLevel::come_back_in(const ShedQuery& query, TimeUs most) const {
+  const double part = 0.5 + 0.5 * unit(hash_of(query) ^ static_cast<std::uint64_t>(last_sample_));
+  return static_cast<TimeUs>(part * static_cast<double>(most));
+}
+
+Combined ServiceLevel::effects_for(std::string_view tenant) const {
+  const auto it = in_force_->by_tenant.find(tenant);
+  return it == in_force_->by_tenant.end() ? in_force_->general : it->second;
+}
+
+double ServiceLevel::limits_scale() const {
+  double scale = 1;
+  for (const Scope& scope : scopes_) {
+    if (!scope.tenant.empty()) continue;
+    std::size_t at = 0;
+    for (const Level& level : file_->levels)
+      if (level.tenant.empty() && at++ < scope.ladder->height()) scale *= level.effects.limits;
+  }
+  return scale;
+}
+
+std::shared_ptr<const QueryLimits> ServiceLevel::over(std::shared_ptr<const QueryLimits> inner,
+                                                      const std::string& tenant, TimeUs taken_at) const {
+  if (!on()) return inner;
+  return std::make_shared<const Leveled>(std::move(inner), in_force_, tenant, taken_at);
+}
+
+std::string ServiceLevel::general_level() const {
+  for (const Scope& scope : scopes_)
+    if (scope.tenant.empty() && scope.ladder->level() != nullptr) return scope.ladder->level()->name;
+  return kFullService;
+}
+
+std::uint64_t ServiceLevel::changes_made() const {
+  std::uint64_t n = 0;
+  for (const Scope& scope : scopes_) n += scope.ladder->changes_made();
+  return n;
+}
+
+}  // namespace orchidgw::service_level
--- /dev/null
+++ b/tests/service_level/service_level_test.cpp
@@ -0,0 +1,223 @@
+// What levels do to queries: who is shed, when to come back, what else holds; and how the signals are
+// measured.
+#include <list>
+#include <set>
+#include <sstream>
+
+#include "levels.h"
+
+namespace orchidgw::service_level {
+namespace {
+
+class ServiceLevelTest : public ::testing::Test {
+ protected:
+  void enter(const std::string& body) {
+    levels.put_in_force(now, levels_of(body));
+    run_until_entered();
+  }
+
+  // Slow answers until a level holds.
+  void run_until_entered() {
+    for (int i = 0; i < 200 && !levels.sheds_any(); ++i) {
+      now += kSampleEvery;
+      for (int k = 0; k < 10; ++k) levels.meters()->attempt(now, "s-0", 8);
+      levels.sample(now, {});
+    }
+    ASSERT_TRUE(levels.sheds_any());
+  }
+
+  ShedQuery report(const std::string& identity, const std::string& tenant = "acme") {
+    kept.push_back(identity);
+    return {"report", tenant, kept.back(), false};
+  }
+
+  std::string with_share(const std::string& shed, const std::string& more = "") {
+    return "levels:\n  list:\n  - name: reduced\n" + more +
+           "    enter: {signal: slowdown, above: 3, for: 1s}\n    leave: {signal: slowdown, below: 1.5}\n"
+           "    effects: {shed: [" +
+           shed + "]}\n";
+  }
+
+  ServiceLevel levels;
+  TimeUs now = kStart;
+  std::list<std::string> kept;
+};
+
+TEST_F(ServiceLevelTest, WithoutLevelsItDoesNothing) {
+  levels.put_in_force(now, nullptr);
+  EXPECT_FALSE(levels.on());
+  EXPECT_EQ(levels.sheds(report("x")), nullptr);
+  EXPECT_EQ(levels.over(nullptr, "acme", now), nullptr);
+  EXPECT_EQ(levels.limits_scale(), 1);
+}
+
+TEST_F(ServiceLevelTest, ShedsTheStatedShareByHash) {
+  enter(with_share("{class: report, share: 30%}"));
+  int shed = 0;
+  for (int i = 0; i < 4'000; ++i) shed += levels.sheds(report("q" + std::to_string(i))) != nullptr ? 1 : 0;
+  EXPECT_NEAR(shed, 1'200, 120);
+  const ShedQuery lookup{"lookup", "acme", "q1", false};
+  EXPECT_EQ(levels.sheds(lookup), nullptr);
+}
+
+// Guards against clients that get through by asking again.
+TEST_F(ServiceLevelTest, ARepeatGetsTheSameAnswer) {
+  enter(with_share("{class: report, share: 50%}"));
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "q" + std::to_string(i);
+    const bool shed = levels.sheds(report(id)) != nullptr;
+    for (int k = 0; k < 5; ++k) EXPECT_EQ(levels.sheds(report(id)) != nullptr, shed);
+  }
+}
+
+// Hard case: a refusal would tell the client that its earlier try never ran.
+TEST_F(ServiceLevelTest, AKeyThatMayHaveRunIsNeverShed) {
+  enter(with_share("{class: load}"));
+  EXPECT_NE(levels.sheds({"load", "acme", "key", false}), nullptr);
+  EXPECT_EQ(levels.sheds({"load", "acme", "key", true}), nullptr);
+}
+
+// Hard case: a flood of one tenant lowers service for that tenant alone.
+TEST_F(ServiceLevelTest, ALevelOfATenantMeetsThatTenantAlone) {
+  enter(with_share("{class: report}", "    tenant: beta\n"));
+  EXPECT_NE(levels.sheds(report("x", "beta")), nullptr);
+  EXPECT_EQ(levels.sheds(report("x", "acme")), nullptr);
+  EXPECT_EQ(levels.general_level(), "full");
+}
+
+TEST_F(ServiceLevelTest, ThoseShedAreToldToComeBackAtDifferentTimes) {
+  enter(with_share("{class: report}"));
+  std::set<TimeUs> times;
+  for (int i = 0; i < 100; ++i) {
+    const TimeUs in = levels.come_back_in(report("q" + std::to_string(i)), 1'000 * kMs);
+    EXPECT_GE(in, 500 * kMs);
+    EXPECT_LE(in, 1'000 * kMs);
+    times.insert(in);
+  }
+  EXPECT_GT(times.size(), 90U);
+}
+
+TEST_F(ServiceLevelTest, ATrialLetsInAPartOfThoseThatWereShedAndNoneElse) {
+  enter(with_share("{class: report, share: 80%}") + "  trial: {parts: [50%], step: 60s}\n");
+  std::vector<bool> before;
+  for (int i = 0; i < 1'000; ++i) before.push_back(levels.sheds(report("q" + std::to_string(i))) != nullptr);
+  for (int i = 0; i < 400; ++i) {
+    now += kSampleEvery;
+    for (int k = 0; k < 10; ++k) levels.meters()->attempt(now, "s-0", 1);
+    const auto changes = levels.sample(now, {});
+    if (!changes.empty()) break;
+  }
+  int still = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    const bool shed = levels.sheds(report("q" + std::to_string(i))) != nullptr;
+    still += shed ? 1 : 0;
+    EXPECT_TRUE(!shed || before[static_cast<std::size_t>(i)]);
+  }
+  EXPECT_NEAR(still, 400, 60);
+}
+
+TEST_F(ServiceLevelTest, EffectsHoldForQueriesThatBeganBefore) {
+  levels.put_in_force(
+      now, levels_of("levels:\n  list:\n  - name: reduced\n    enter: {signal: slowdown, above: 3, for: 1s}\n"
+                     "    leave: {signal: slowdown, below: 1.5}\n"
+                     "    effects: {shed: [{class: report}], further_attempts: off, longest_hold: 100ms, "
+                     "limits: 50%}\n"));
+  const auto limits = levels.over(nullptr, "acme", now);
+  EXPECT_TRUE(limits->may_send(now, 1, 0));
+  EXPECT_EQ(limits->hold_until(now + kSecond), now + kSecond);
+  const TimeUs taken = now;
+  run_until_entered();
+  EXPECT_FALSE(limits->may_send(now, 1, 0));
+  EXPECT_FALSE(limits->may_follow(now, OutcomeKind::kError, 1));
+  EXPECT_TRUE(limits->may_send(now, 0, 0));  // the first attempt is no further one
+  EXPECT_EQ(limits->hold_until(taken + kSecond), taken + 100 * kMs);
+  EXPECT_EQ(levels.limits_scale(), 0.5);
+}
+
+TEST_F(ServiceLevelTest, OffForCopiesLeavesOtherAttempts) {
+  enter(
+      "levels:\n  list:\n  - name: reduced\n    enter: {signal: slowdown, above: 3, for: 1s}\n"
+      "    leave: {signal: slowdown, below: 1.5}\n    effects: {second_copies: off}\n");
+  const auto limits = levels.over(nullptr, "acme", now);
+  EXPECT_FALSE(limits->may_send(now, 1, 1));
+  EXPECT_TRUE(limits->may_send(now, 1, 0));
+}
+
+TEST_F(ServiceLevelTest, AReloadWithoutLevelsEndsThem) {
+  enter(with_share("{class: report}"));
+  levels.put_in_force(now, nullptr);
+  EXPECT_EQ(levels.sheds(report("x")), nullptr);
+}
+
+TEST(Meters, ASignalNeedsEnoughToTell) {
+  const SignalKey late{Signal::kLateShare, "lookup", "", 5 * kSecond};
+  const SignalKey arrivals{Signal::kArrivals, "", "beta", 5 * kSecond};
+  Meters meters({late, arrivals});
+  EXPECT_FALSE(meters.value(kStart, late));
+  for (int i = 0; i < 4; ++i) meters.answered(kStart, "lookup", "acme", true);
+  EXPECT_FALSE(meters.value(kStart, late));
+  for (int i = 0; i < 6; ++i) meters.answered(kStart, "lookup", "acme", false);
+  meters.answered(kStart, "report", "acme", true);
+  EXPECT_NEAR(*meters.value(kStart, late), 0.4, 1e-9);
+  EXPECT_FALSE(meters.value(kStart + 60 * kSecond, late));  // faded: nothing comes any more
+  for (int i = 0; i <= 100; ++i) meters.taken(kStart + i * 100 * kMs, "lookup", "beta");
+  EXPECT_NEAR(*meters.value(kStart + 10 * kSecond, arrivals), 10, 2);
+}
+
+TEST(Meters, TheSlowestEngineStandsOutAgainstTheMean) {
+  const SignalKey slowest{Signal::kSlowestEngine, "", "", 10 * kSecond};
+  const SignalKey all{Signal::kSlowdown, "", "", 10 * kSecond};
+  const SignalKey there{Signal::kInService, "", "", 5 * kSecond};
+  Meters meters({slowest, all, there});
+  EXPECT_FALSE(meters.value(kStart, there));
+  meters.engines({"a", "b", "c", "d"}, 3);
+  EXPECT_NEAR(*meters.value(kStart, there), 0.75, 1e-9);
+  for (int i = 0; i < 100; ++i)
+    for (const char* id : {"a", "b", "c", "d"}) meters.attempt(kStart + i, id, id[0] == 'd' ? 9 : 1);
+  EXPECT_NEAR(*meters.value(kStart + 100, all), 3, 0.01);
+  EXPECT_NEAR(*meters.value(kStart + 100, slowest), 3, 0.01);
+}
+
+TEST(Recorder, WhatItWritesIsWhatReplayReads) {
+  const SignalKey slow{Signal::kSlowdown, "", "", 5 * kSecond};
+  const SignalKey late{Signal::kLateShare, "lookup", "beta", 2 * kSecond};
+  Recorder recorder({slow, late});
+  HandSignals signals;
+  for (std::size_t i = 0; i < Recorder::kSamplesMost + 10; ++i) {
+    signals.values[Signal::kSlowdown] = static_cast<double>(i);
+    recorder.record(kStart + static_cast<TimeUs>(i) * kSampleEvery, signals);
+  }
+  EXPECT_EQ(recorder.samples(), Recorder::kSamplesMost);
+  std::stringstream csv;
+  recorder.write(csv, "");
+  Recording recording(csv);
+  EXPECT_TRUE(recording.has(late));
+  std::size_t n = 0;
+  for (; recording.next(); ++n) {
+    EXPECT_EQ(recording.value(0, slow), static_cast<double>(n + 10));
+    EXPECT_FALSE(recording.value(0, late));
+    EXPECT_EQ(recording.at(), kStart + static_cast<TimeUs>(n + 10) * kSampleEvery);
+  }
+  EXPECT_EQ(n, Recorder::kSamplesMost);
+}
+
+TEST(Recorder, ABadRecordingNamesItsLine) {
+  const auto why = [](const std::string& text) {
+    std::istringstream in(text);
+    try {
+      Recording recording(in);
+    } catch (const std::runtime_error& e) {
+      return std::string(e.what());
+    }
+    return std::string("good");
+  };
+  EXPECT_EQ(why(""), "line 1: empty: a first line with the signals' names is wanted");
+  EXPECT_EQ(why("time,slowdown/-/-/5000\n"), "line 1: the first column must be time_ms");
+  EXPECT_EQ(why("time_ms,a\n1,2\n1,2,3\n"), "line 3: 2 values are wanted, 3 stand here");
+  EXPECT_EQ(why("time_ms,a\n1,x\n"), "line 2: a is no number");
+  EXPECT_EQ(why("time_ms,a\n2,1\n1,1\n"), "line 3: the time goes back");
+  EXPECT_EQ(why("time_ms,a\n1,\n2,0.5\n"), "good");
+}
+
+}  // namespace
+}  // namespace orchidgw::service_level
