--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,6 +1,7 @@
 #include "cli/command_line.h"
 
 #include <CLI/CLI.hpp>
+#include <map>
 
 namespace orchidgw::cli {
 namespace {
@@ -38,6 +39,8 @@
   app.require_subcommand(0, 1);
   add_files(app, out.sources);
   add_log(app, out.sources);
+  app.add_option("--admin", out.sources.admin, "the administration socket's path: to open (serve), or to ask")
+      ->envname("ORCHIDGW_ADMIN");
   app.fallthrough();  // the same options stand before or behind the command
   app.add_subcommand("serve", "serve until told to stop (SIGTERM); what no command does, too");
   CLI::App* check =
@@ -50,13 +53,22 @@
   explain->add_option("--table", out.explain.table, "the first table of its statement, like sales_17.orders");
   explain->add_flag("--key", out.explain.keyed, "it carries an idempotency key");
   CLI::App* level = app.add_subcommand("level", "reduced service levels");
-  level->require_subcommand(1);
   CLI::App* replay =
       level->add_subcommand("replay", "play recorded signals through the levels and print the changes");
   replay
       ->add_option("signals", out.signals,
                    "what SIGUSR1 printed behind 'signals ', as CSV; - for standard input")
       ->required();
+  level->require_subcommand(1);
+  CLI::App* set = level->add_subcommand("set", "set a level by hand, through the administration socket");
+  set->add_option("name", out.level, "a level of the operators' file, or full")->required();
+  set->add_option("--for", out.hold_s, "how long, like 10m")
+      ->required()
+      ->transform(
+          CLI::AsNumberWithUnit(std::map<std::string, std::int64_t>{{"s", 1}, {"m", 60}, {"h", 3600}}))
+      ->check(CLI::Range(1, 86'400));
+  CLI::App* status =
+      app.add_subcommand("status", "print levels and counts, through the administration socket");
   CLI::App* version = app.add_subcommand("version", "print the version");
   try {
     app.parse(argc, argv);
@@ -67,6 +79,8 @@
   if (check->parsed()) out.command = CommandLine::Command::kCheck;
   if (explain->parsed()) out.command = CommandLine::Command::kExplain;
   if (replay->parsed()) out.command = CommandLine::Command::kReplay;
+  if (set->parsed()) out.command = CommandLine::Command::kLevelSet;
+  if (status->parsed()) out.command = CommandLine::Command::kStatus;
   if (version->parsed()) out.command = CommandLine::Command::kVersion;
   return out;
 }
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -21,11 +21,13 @@
 };
 
 struct CommandLine {
-  enum class Command { kServe, kCheck, kExplain, kReplay, kVersion };
+  enum class Command { kServe, kCheck, kExplain, kReplay, kStatus, kLevelSet, kVersion };
   Command command = Command::kServe;
   configuration::Sources sources;
   Explain explain;
   std::string signals;  // of kReplay: the recording
+  std::string level;    // of kLevelSet
+  std::int64_t hold_s = 0;
 };
 
 // Nothing where the process is to end with `exit_code`: help was asked for, or the line is wrong, and it was
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -17,6 +17,7 @@
 // Where from, as the command line and the environment say; for each setting the flag comes before the
 // environment, and both before the files.
 struct Sources {
+  std::string admin;   // the path of the administration socket; empty: none. It stays until the next start
   std::string config;  // the path of BALANCER_CONFIG
   std::string limits;  // the path of the operators' file; empty: `operatorFile` in the configuration, or none
   std::string log_level;   // empty: the operators' file, else info
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -87,7 +87,13 @@
   std::shared_ptr<const service_level::LevelFile> levels = nullptr;  // null: none
 };
 
+// An operator set a level by hand, until then.
+struct LevelSet {
+  std::string level;
+  TimeUs until = 0;
+};
+
 using Event = std::variant<EnginesChanged, CallAnswered, CallEnded, RequestAborted, ClientClosed, TimePassed,
-                           LimitsChanged, RequestArrived>;
+                           LimitsChanged, LevelSet, RequestArrived>;
 
 }  // namespace orchidgw::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -185,6 +185,8 @@
   set_timer_for(TimerKind::kSample, now_ + service_level::kSampleEvery, 0, 0);
 }
 
+void Reducer::on(LevelSet& event) { levels_.set_by_hand(event.level, event.until); }
+
 // --- Reduced service levels -------------------------------------------------------------------------------
 
 service_level::ShedQuery Reducer::as_shed_sees(const QueryState& query) const {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -126,6 +126,7 @@
   void on(CallEnded& event);
   void on(TimePassed& event);
   void on(LimitsChanged& event);
+  void on(LevelSet& event);
 
   // What is wrong with a request of that class; empty: nothing.
   std::string fault_of(const ClientRequest& request, const ClassSettings& c) const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,12 +9,14 @@
 #include <ostream>
 #include <string>
 
+#include "admin/admin_command.h"
 #include "cli/command_line.h"
 #include "cli/commands.h"
 #include "cli/replay.h"
 #include "configuration/configuration.h"
 #include "log/bounded_output.h"
 #include "log/log.h"
+#include "net/admin_socket.h"
 #include "net/controller.h"
 #include "net/sockets.h"
 
@@ -41,11 +43,19 @@
                                        [&sources](const orchidgw::Settings& running) {
                                          return orchidgw::configuration::load(sources, &running);
                                        });
+  if (!sources.admin.empty()) controller.open_admin(sources.admin);
   log.write(orchidgw::log::Level::kInfo, "listening on " + at);
   controller.run();
   return orchidgw::cli::kGood;
 }
 
+int ask(const std::string& path, const orchidgw::admin::AdminCommand& command) {
+  if (path.empty()) return fail("--admin: the path of the administration socket is needed");
+  const std::string answer = orchidgw::net::ask_admin(path, orchidgw::admin::write_admin(command));
+  std::cout << answer;
+  return answer.starts_with("error") ? orchidgw::cli::kBad : orchidgw::cli::kGood;
+}
+
 int run(const orchidgw::cli::CommandLine& line) {
   using Command = orchidgw::cli::CommandLine::Command;
   switch (line.command) {
@@ -57,6 +67,11 @@
       return orchidgw::cli::run_explain(line, std::cout, std::cerr);
     case Command::kReplay:
       return orchidgw::cli::run_replay(line.sources, line.signals, std::cout, std::cerr);
+    case Command::kStatus:
+      return ask(line.sources.admin, {});
+    case Command::kLevelSet:
+      return ask(line.sources.admin,
+                 {orchidgw::admin::AdminCommand::Kind::kLevelSet, line.level, line.hold_s * 1'000'000});
     case Command::kVersion:
       return orchidgw::cli::run_version(std::cout);
   }
--- /dev/null
+++ b/src/net/admin_socket.cpp
@@ -0,0 +1,168 @@
+#include "net/admin_socket.h"
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+#include "admin/admin_command.h"
+#include "net/clock.h"
+
+namespace orchidgw::net {
+namespace {
+
+constexpr std::size_t kConnectionsMost = 4;
+constexpr int kBacklog = 8;
+constexpr TimeUs kSilentMost = 2'000'000;
+
+[[noreturn]] void fail(const std::string& path, const char* why) {
+  throw std::runtime_error(path + ": " + why);
+}
+
+sockaddr_un address_of(const std::string& path) {
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  if (path.empty() || path.size() >= sizeof at.sun_path) fail(path, "a path of 1 to 107 bytes is wanted");
+  std::memcpy(at.sun_path, path.data(), path.size());
+  return at;
+}
+
+int connect_to(const std::string& path) {
+  const sockaddr_un at = address_of(path);
+  const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0) return -1;
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return fd;
+  const int error = errno;
+  ::close(fd);
+  errno = error;
+  return -1;
+}
+
+// Guards against taking the socket of a program that runs, or a file that is none.
+void remove_dead(const std::string& path) {
+  struct stat info {};
+  if (::lstat(path.c_str(), &info) != 0) return;
+  if (!S_ISSOCK(info.st_mode)) fail(path, "is there, and no socket");
+  const int fd = connect_to(path);
+  if (fd >= 0) {
+    ::close(fd);
+    fail(path, "another process listens there");
+  }
+  if (errno == ECONNREFUSED) ::unlink(path.c_str());
+}
+
+int listen_on(const std::string& path) {
+  const sockaddr_un at = address_of(path);
+  remove_dead(path);
+  const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) fail(path, std::strerror(errno));
+  const mode_t before = ::umask(0177);  // its owner alone, from the first moment
+  const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+  const int error = errno;
+  ::umask(before);
+  if (bound && ::listen(fd, kBacklog) == 0) return fd;
+  ::close(fd);
+  fail(path, std::strerror(error));
+}
+
+}  // namespace
+
+class AdminSocket::Connection final : public ChannelHandler {
+ public:
+  Connection(AdminSocket& owner, int fd)
+      : owner_(owner), channel_(owner.context_.reactor, fd, *this), since_(unix_now()) {
+    channel_.want_read(true);
+  }
+
+  bool silent(TimeUs now) const { return now - since_ > kSilentMost; }
+  void close() { channel_.close(); }
+
+  void on_readable() override {
+    char bytes[admin::kLineMost];
+    const ssize_t n = ::read(channel_.fd(), bytes, sizeof bytes);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (n <= 0) return owner_.closed(this);
+    line_.append(bytes, static_cast<std::size_t>(n));
+    const auto end = line_.find('\n');
+    if (end == std::string::npos && line_.size() < admin::kLineMost) return;
+    const std::string answer =
+        end == std::string::npos ? "error: the line is too long\n" : owner_.answer_(line_.substr(0, end));
+    // A few hundred bytes on a new connection fit its buffer; who would not take them is let go.
+    if (::send(channel_.fd(), answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+      owner_.context_.log.write(log::Level::kWarn, "administration: an answer was not taken");
+    owner_.closed(this);
+  }
+  void on_writable() override {}
+  void on_error() override { owner_.closed(this); }
+  void on_failure(const char* what) override { owner_.on_failure(what); }
+
+ private:
+  AdminSocket& owner_;
+  Channel channel_;
+  TimeUs since_;
+  std::string line_;
+};
+
+AdminSocket::AdminSocket(Context& context, const std::string& path, Answer answer)
+    : context_(context),
+      path_(path),
+      answer_(std::move(answer)),
+      listener_(context.reactor, listen_on(path), *this) {
+  listener_.want_read(true);
+}
+
+AdminSocket::~AdminSocket() { ::unlink(path_.c_str()); }
+
+void AdminSocket::on_readable() {
+  while (true) {
+    const int fd = ::accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    if (connections_.size() >= kConnectionsMost) {
+      ::close(fd);
+      continue;
+    }
+    connections_.push_back(std::make_shared<Connection>(*this, fd));
+  }
+}
+
+void AdminSocket::check(TimeUs now) {
+  for (std::size_t i = connections_.size(); i-- > 0;)
+    if (connections_[i]->silent(now)) closed(connections_[i].get());
+}
+
+void AdminSocket::closed(Connection* connection) {
+  const auto it = std::find_if(connections_.begin(), connections_.end(),
+                               [&](const auto& c) { return c.get() == connection; });
+  if (it == connections_.end()) return;
+  (*it)->close();
+  context_.closed.push_back(*it);
+  connections_.erase(it);
+}
+
+void AdminSocket::on_failure(const char* what) {
+  context_.log.write(log::Level::kError, std::string("administration: ") + what);
+}
+
+std::string ask_admin(const std::string& path, const std::string& line) {
+  const int fd = connect_to(path);
+  if (fd < 0) fail(path, std::strerror(errno));
+  const timeval most{5, 0};
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+  std::string answer;
+  if (::send(fd, line.data(), line.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(line.size())) {
+    char bytes[4096];
+    for (ssize_t n = 0; (n = ::read(fd, bytes, sizeof bytes)) > 0;)
+      answer.append(bytes, static_cast<std::size_t>(n));
+  }
+  ::close(fd);
+  if (answer.empty()) fail(path, "no answer came");
+  return answer;
+}
+
+}  // namespace orchidgw::net
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -6,6 +6,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "admin/admin_command.h"
 #include "net/clock.h"
 
 namespace orchidgw::net {
@@ -105,6 +106,7 @@
     context_.closed.clear();
     change_log_.check(now);
     engines_.check(now);
+    if (admin_) admin_->check(now);
     act(now);
     front_door_.between_turns(now);
     stop_if_done(now);
@@ -198,6 +200,36 @@
   reactor_.hurry();
 }
 
+void Controller::open_admin(const std::string& path) {
+  admin_ = std::make_unique<AdminSocket>(context_, path,
+                                         [this](const std::string& line) { return answer_admin(line); });
+}
+
+std::string Controller::answer_admin(const std::string& line) {
+  std::string why;
+  const auto command = admin::parse_admin(line, why);
+  if (!command) return "error: " + why + "\n";
+  const TimeUs now = unix_now();
+  if (command->kind == admin::AdminCommand::Kind::kLevelSet) {
+    if (!reducer_.levels().has_level(command->level)) return "error: no level of that name\n";
+    post(core::LevelSet{command->level, now + command->hold});
+    log_.write(log::Level::kWarn, log::Component::kLimits, "level set by hand",
+               {{"level", command->level}, {"seconds", command->hold / 1'000'000}});
+    return "set\n";
+  }
+  std::string out = reducer_.levels().status(now);
+  const auto count = [&out](const char* name, std::uint64_t value) {
+    out += std::string(name) + " " + std::to_string(value) + "\n";
+  };
+  count("taken", counters_.taken);
+  count("served", counters_.served);
+  count("refused", counters_.refused);
+  count("shed", counters_.refusals[static_cast<std::size_t>(Reason::kShed)]);
+  count("failed", counters_.failed);
+  count("open", counters_.open_queries.now);
+  return out;
+}
+
 // Reads the configuration and the operators' file anew. What is wrong with either is said, a line each, and
 // both old ones stay.
 void Controller::reload() {
@@ -251,6 +283,7 @@
   front_door_.close_all();
   engines_.close_all();
   change_log_.close();
+  admin_.reset();
   reactor_.stop();
 }
 
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -10,6 +10,7 @@
 #include "core/reducer.h"
 #include "log/log.h"
 #include "metrics/counters.h"
+#include "net/admin_socket.h"
 #include "net/buffer_pool.h"
 #include "net/change_log.h"
 #include "net/context.h"
@@ -30,6 +31,9 @@
   Controller(const configuration::Configuration& configuration, int listener, log::Logger& log,
              Reload reload);
 
+  // Throws std::runtime_error where it can't be opened.
+  void open_admin(const std::string& path);
+
   void run();  // until a planned restart is over
 
  private:
@@ -44,6 +48,7 @@
   void run_effect(core::SideEffect& effect);
   void on_signal(int signal);
   void reload();
+  std::string answer_admin(const std::string& line);
   void put_in_force(const configuration::Configuration& fresh);
   void put_limits_in_force(std::shared_ptr<const limits::LimitSet> set,
                            std::shared_ptr<const service_level::LevelFile> levels);
@@ -67,7 +72,8 @@
   ChangeLog change_log_;
   FrontDoor front_door_;
   Signals signals_;
-  TimeUs stop_asked_at_ = 0;  // 0: not yet
+  std::unique_ptr<AdminSocket> admin_;  // null: off
+  TimeUs stop_asked_at_ = 0;            // 0: not yet
   bool listening_ = true;
 };
 
--- a/src/operator_file/yaml_tree.h
+++ b/src/operator_file/yaml_tree.h
@@ -17,7 +17,7 @@
 using limits::Fault;
 using limits::Place;
 
-inline constexpr std::size_t kDepthMost = 8;
+inline constexpr std::size_t kDepthMost = 12;
 
 struct Member;
 
--- a/src/service_level/service_level.cpp
+++ b/src/service_level/service_level.cpp
@@ -1,6 +1,7 @@
 #include "service_level/service_level.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <utility>
 
@@ -229,6 +230,33 @@
   return kFullService;
 }
 
+void ServiceLevel::set_by_hand(const std::string& level, TimeUs until) {
+  for (const Scope& scope : scopes_) scope.ladder->set_by_hand(level, until);
+}
+
+bool ServiceLevel::has_level(const std::string& level) const {
+  if (!file_) return false;
+  if (level == kFullService) return true;
+  return std::any_of(file_->levels.begin(), file_->levels.end(),
+                     [&](const Level& l) { return l.name == level; });
+}
+
+std::string ServiceLevel::status(TimeUs now) const {
+  std::string out;
+  for (const Scope& scope : scopes_) {
+    const Ladder& ladder = *scope.ladder;
+    const Level* level = ladder.level();
+    out += "level " + (scope.tenant.empty() ? "" : "of tenant " + scope.tenant + " ") +
+           (level != nullptr ? level->name : kFullService);
+    if (ladder.since() > 0) out += " for " + std::to_string((now - ladder.since()) / 1'000'000) + " s";
+    if (ladder.let_in_part() > 0)
+      out += ", trial with " + std::to_string(std::lround(ladder.let_in_part() * 100)) + "% let in";
+    out += ", changes " + std::to_string(ladder.changes_made()) + "\n";
+  }
+  if (scopes_.empty()) out = "no levels in the operators' file\n";
+  return out;
+}
+
 std::uint64_t ServiceLevel::changes_made() const {
   std::uint64_t n = 0;
   for (const Scope& scope : scopes_) n += scope.ladder->changes_made();
--- a/src/service_level/service_level.h
+++ b/src/service_level/service_level.h
@@ -47,6 +47,10 @@
   bool on() const { return file_ != nullptr; }
   Meters* meters() { return meters_.get(); }  // null: no levels
 
+  // Of every ladder that has the level. "full" is of all.
+  void set_by_hand(const std::string& level, TimeUs until);
+  bool has_level(const std::string& level) const;
+
   // The changes since the last sample, in the order of the ladders.
   std::vector<Change> sample(TimeUs now, const Readings& readings);
 
@@ -66,6 +70,7 @@
 
   // The general ladder's level, "full" without one; and the time spent in each so far, by ladder and level.
   std::string general_level() const;
+  std::string status(TimeUs now) const;  // a line for each ladder
   const std::map<std::string, TimeUs>& time_in() const { return *time_in_; }
   std::uint64_t changes_made() const;
   const Recorder* recorder() const { return recorder_.get(); }
