--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The project's tasks. `make run` without BALANCER_CONFIG starts the embedded sample on loopback (README.md).
-.PHONY: build test lint run ask bench fuzz loopback-rate service-days
+.PHONY: build test lint run ask bench fuzz loopback-rate service-days levels-on-sockets
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF
@@ -31,6 +31,12 @@
 	cmake --build build-bench -j4 --target orchidgw_service_days
 	build-bench/bench/orchidgw_service_days
 
+# Rough days on real sockets with stand-in engines, with and without levels; two and a half minutes.
+levels-on-sockets:
+	cmake -B build-rate -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-rate -j4 --target orchidgw_levels_days
+	build-rate/tests/orchidgw_levels_days
+
 # Requests a second and CPU a request on loopback: BEFORE=path/of/an/earlier/orchidgw against this one, in turn.
 loopback-rate:
 	cmake -B build-rate -DCMAKE_BUILD_TYPE=Release
--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -2,6 +2,15 @@
 
 namespace orchidgw::core {
 
+static_assert(kConnectionEnds <= metrics::kEndsMost);
+static_assert(static_cast<std::size_t>(OutcomeKind::kMoot) + 1 == metrics::kOutcomesMost);
+
+metrics::Names counter_names() {
+  return {
+      [](std::size_t i) { return name_of(static_cast<OutcomeKind>(i)); },
+      [](std::size_t i) { return i < kConnectionEnds ? name_of(static_cast<ConnectionEnd>(i)) : nullptr; }};
+}
+
 const char* name_of(ConnectionEnd end) {
   switch (end) {
     case ConnectionEnd::kRefused:
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "decision/decision.h"
+#include "metrics/counters.h"
 
 namespace orchidgw::core {
 
@@ -32,6 +33,9 @@
 };
 inline constexpr std::size_t kConnectionEnds = static_cast<std::size_t>(ConnectionEnd::kShutDown) + 1;
 
+// What counters call the two.
+metrics::Names counter_names();
+
 const char* name_of(ConnectionEnd end);
 const char* name_of(OutcomeKind kind);
 
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -16,17 +16,17 @@
   out << "counter " << name << ' ' << late.count << " mean_us " << mean << " worst_us " << late.worst << '\n';
 }
 
-void ends(std::ostream& out, const char* where, const std::array<std::uint64_t, core::kConnectionEnds>& all) {
+void ends(std::ostream& out, const char* where, const std::array<std::uint64_t, kEndsMost>& all,
+          const Names& names) {
   for (std::size_t i = 0; i < all.size(); ++i) {
     if (all[i] == 0) continue;
-    out << "counter " << where << '.' << core::name_of(static_cast<core::ConnectionEnd>(i)) << ' ' << all[i]
-        << '\n';
+    out << "counter " << where << '.' << names.end(i) << ' ' << all[i] << '\n';
   }
 }
 
 }  // namespace
 
-void print(const Counters& c, std::ostream& out) {
+void print(const Counters& c, const Names& names, std::ostream& out) {
   line(out, "queries.taken", c.taken);
   line(out, "queries.served", c.served);
   line(out, "queries.refused", c.refused);
@@ -41,15 +41,16 @@
   }
   line(out, "attempts.sent", c.sent);
   for (std::size_t i = 0; i < c.outcomes.size(); ++i) {
-    out << "counter attempts." << core::name_of(static_cast<OutcomeKind>(i)) << ' ' << c.outcomes[i] << '\n';
+    if (const char* name = names.outcome(i))
+      out << "counter attempts." << name << ' ' << c.outcomes[i] << '\n';
   }
   line(out, "calls.made", c.calls);
   line(out, "calls.open", c.open_calls);
   line(out, "calls.asked_again", c.asked_again);
   line(out, "calls.unconfirmed", c.unconfirmed);
-  ends(out, "client_ends", c.client_ends);
-  ends(out, "engine_ends", c.engine_ends);
-  ends(out, "change_log_ends", c.change_log_ends);
+  ends(out, "client_ends", c.client_ends, names);
+  ends(out, "engine_ends", c.engine_ends, names);
+  ends(out, "change_log_ends", c.change_log_ends, names);
   line(out, "connections.accepted", c.accepted);
   line(out, "connections.connected", c.connected);
   line(out, "connections.reused", c.reused);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -6,11 +6,11 @@
 #include <ostream>
 
 #include "base/reason.h"
-#include "core/connection_end.h"
-#include "decision/decision.h"
 
 namespace orchidgw::metrics {
 
+using TimeUs = std::int64_t;  // microseconds
+
 // How late something came: count, mean and worst.
 struct Lateness {
   std::uint64_t count = 0;
@@ -35,7 +35,15 @@
   void down() { set(now - 1); }
 };
 
-inline constexpr std::size_t kOutcomes = static_cast<std::size_t>(OutcomeKind::kMoot) + 1;
+// Kinds of ends are the core's; here they are numbers, with room for so many.
+inline constexpr std::size_t kOutcomesMost = 8;
+inline constexpr std::size_t kEndsMost = 24;
+
+// What the numbers are called: the core knows. Null for a number that stands for nothing.
+struct Names {
+  const char* (*outcome)(std::size_t) = nullptr;
+  const char* (*end)(std::size_t) = nullptr;
+};
 
 struct Counters {
   // Queries.
@@ -50,15 +58,15 @@
   std::array<std::uint64_t, kReasons> refusals{};  // by reason
   // Attempts and calls.
   std::uint64_t sent = 0;
-  std::array<std::uint64_t, kOutcomes> outcomes{};
+  std::array<std::uint64_t, kOutcomesMost> outcomes{};
   std::uint64_t calls = 0;
   Level open_calls;
   std::uint64_t asked_again = 0;
   std::uint64_t unconfirmed = 0;  // given up without the engine's word
   // Connections.
-  std::array<std::uint64_t, core::kConnectionEnds> client_ends{};
-  std::array<std::uint64_t, core::kConnectionEnds> engine_ends{};
-  std::array<std::uint64_t, core::kConnectionEnds> change_log_ends{};
+  std::array<std::uint64_t, kEndsMost> client_ends{};
+  std::array<std::uint64_t, kEndsMost> engine_ends{};
+  std::array<std::uint64_t, kEndsMost> change_log_ends{};
   std::uint64_t accepted = 0;
   std::uint64_t connected = 0;
   std::uint64_t reused = 0;
@@ -89,6 +97,6 @@
   Lateness connects;  // time that connections to engines took to come up
 };
 
-void print(const Counters& counters, std::ostream& out);
+void print(const Counters& counters, const Names& names, std::ostream& out);
 
 }  // namespace orchidgw::metrics
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -302,7 +302,7 @@
     out << "counter level.changes " << levels.changes_made() << " now " << levels.general_level() << '\n';
     levels.recorder()->write(out, "signals ");
   }
-  metrics::print(counters_, out);
+  metrics::print(counters_, core::counter_names(), out);
 }
 
 }  // namespace orchidgw::net
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -71,7 +71,11 @@
   std::string path = (std::filesystem::temp_directory_path() / "orchidgw-test-XXXXXX").string();
   if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
   directory_ = path;
-  configure(options);
+  if (options.config) {
+    configure(options.config(address_));
+  } else {
+    configure(options);
+  }
   std::map<std::string, std::string> environment = {{"BALANCER_CONFIG", directory_ + "/config.json"},
                                                     {"BALANCER_NAME", "n0"}};
   if (!options.limits.empty()) {
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -17,9 +18,10 @@
   std::vector<std::string> members;  // JSON of the engines known at the start
   int sockets = 1024;
   int memory_mb = 192;
-  std::string program;             // empty: the one that was built with the tests
-  std::string limits;              // the operators' file; empty: none
-  std::vector<std::string> words;  // of the command line
+  std::string program;  // empty: the one that was built with the tests
+  std::string limits;   // the operators' file; empty: none
+  std::function<std::string(const std::string& listen)> config;  // empty: one of the above
+  std::vector<std::string> words;                                // of the command line
 };
 
 // JSON of a list member.
--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -4,7 +4,10 @@
 #include <signal.h>
 
 #include <atomic>
+#include <fstream>
+#include <regex>
 #include <set>
+#include <sstream>
 #include <thread>
 
 #include "change_log_stand_in.h"
@@ -216,6 +219,19 @@
   EXPECT_NE(told.find("settings: policyLimits.secondCopies"), std::string::npos) << told;
 }
 
+// The newcomer's first files must pass the program's own check.
+TEST_F(Limited, TheSampleIsGood) {
+  start(kNone);
+  std::ostringstream text;
+  text << std::ifstream(ORCHIDGW_SAMPLE "/config.json").rdbuf();
+  const std::string config = std::regex_replace(text.str(), std::regex("@[A-Z0-9]+@"), "127.0.0.1:7001");
+  controller->configure(config);
+  ControllerProcess check({{"BALANCER_CONFIG", controller->config_path()}},
+                          {"check", "--limits", ORCHIDGW_SAMPLE "/limits.yaml"});
+  EXPECT_EQ(check.wait_exit(), 0);
+  EXPECT_TRUE(check.wait_for_line("good: 4 routes and the defaults")) << check.log();
+}
+
 // Guards against a loop that waits for who reads its log.
 TEST_F(Limited, NobodyReadsTheLogAndItServesAllTheSame) {
   options.words = {"--log-level", "debug", "--log-format", "json"};
--- a/tests/service_level/service_level_test.cpp
+++ b/tests/service_level/service_level_test.cpp
@@ -143,6 +143,18 @@
   EXPECT_TRUE(limits->may_send(now, 1, 0));
 }
 
+TEST_F(ServiceLevelTest, TheFileSetsALevelByHandUntilItsTime) {
+  const std::string body =
+      with_share("{class: report}") + "  manual: {level: reduced, until: 1970-01-01T00:17:00Z}\n";
+  levels.put_in_force(now, levels_of(body));  // 20 s from now
+  levels.sample(now, {});
+  EXPECT_NE(levels.sheds(report("x")), nullptr);
+  ServiceLevel later;
+  later.put_in_force(now + 60 * kSecond, levels_of(body));
+  later.sample(now + 60 * kSecond, {});
+  EXPECT_FALSE(later.sheds_any());
+}
+
 TEST_F(ServiceLevelTest, AReloadWithoutLevelsEndsThem) {
   enter(with_share("{class: report}"));
   levels.put_in_force(now, nullptr);
--- a/tests/unit/log_and_counters_test.cpp
+++ b/tests/unit/log_and_counters_test.cpp
@@ -3,6 +3,7 @@
 
 #include <sstream>
 
+#include "core/connection_end.h"
 #include "log/log.h"
 #include "metrics/counters.h"
 
@@ -36,7 +37,7 @@
   counters.buffers.set(9);
   counters.buffers.set(4);
   std::ostringstream out;
-  metrics::print(counters, out);
+  metrics::print(counters, core::counter_names(), out);
   for (const char* line :
        {"counter queries.taken 12\n", "counter attempts.full 3\n", "counter engine_ends.refused 2\n",
         "counter buffers 4 most 9\n", "counter loop.timer_lateness 2 mean_us 20 worst_us 30\n"})
