--- a/src/service_level/service_level.cpp
+++ b/src/service_level/service_level.cpp
@@ -129,6 +129,12 @@
   }
   scopes_ = std::move(scopes);
   file_ = std::move(file);
+  // Guards against names that gather over reloads.
+  if (!file_) time_in_->clear();
+  std::erase_if(*time_in_, [&](const auto& entry) {
+    const auto dot = entry.first.rfind('.');
+    return !has_level(dot == std::string::npos ? entry.first : entry.first.substr(dot + 1));
+  });
   renew_effects();
 }
 
