--- a/bench/service_days.cpp
+++ b/bench/service_days.cpp
@@ -58,8 +58,8 @@
   std::function<double(int engine, bool trouble)> speed;       // of an engine, 1 on a calm day
 };
 
-// Reports are shed only while more of them come than usual: where all engines are slow and demand is as ever, shedding
-// costs the worth of the reports and frees little.
+// Reports are shed only while more of them come than usual: where all engines are slow and demand is as ever,
+// shedding costs the worth of the reports and frees little.
 const char* const kLevels = R"(version: 1
 levels:
   list:
--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -186,6 +186,30 @@
   EXPECT_EQ(controller->wait_exit(), 0);
 }
 
+// Signals that come while one is read run into each other: the last file must be the one in force.
+TEST_F(Limited, ReloadsOnTopOfEachOtherAndOfADrainEndWithTheLastFile) {
+  start(kNone, [](const HttpCall&) {
+    HttpReply r;
+    r.status = 500;
+    return r;
+  });
+  for (int i = 0; i < 20; ++i) {
+    controller->replace_limits(i % 2 == 0 ? lookups("  attempts: 3\n") : "version: 1\n");
+    controller->signal(SIGHUP);
+    if (i == 10) change_log.tell(member("s-1", engines[1]->address(), "terminating"));
+  }
+  controller->replace_limits(lookups("  attempts: 1\n"));
+  controller->signal(SIGHUP);
+  ASSERT_TRUE(controller->wait_for_counter("list.changes", 2));
+  controller->signal(SIGHUP);
+  ASSERT_TRUE(controller->wait_for_counter("queries.open", 0));
+  FrontClient client(controller->address());
+  client.invoke(1);
+  EXPECT_EQ(client.receive().kind, Kind::kRefused);
+  EXPECT_EQ(attempts_seen(), 1);
+  EXPECT_EQ(engines[1]->count("POST"), 0);
+}
+
 TEST_F(Limited, ABadFileAtTheStartEndsItWithEveryFault) {
   start(kNone);
   ControllerProcess second({{"BALANCER_CONFIG", controller->config_path()}},
