--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -17,6 +17,7 @@
   std::map<std::string, std::vector<const Level*>> by_tenant;
   for (const Level& level : file.levels) by_tenant[level.tenant].push_back(&level);
   std::vector<service_level::Ladder> out;
+  out.reserve(by_tenant.size());
   for (auto& [tenant, levels] : by_tenant) out.emplace_back(std::move(levels), file.trial, file.changes);
   return out;
 }
--- a/tests/integration/levels_test.cpp
+++ b/tests/integration/levels_test.cpp
@@ -51,7 +51,7 @@
 
   FrontAnswer ask(const std::string& service) {
     FrontClient client(controller->address());
-    client.invoke(1, {{"service", service}, {"effort", "10.0"}});
+    client.invoke(1, {{"service", service}, {"effort", "20.0"}});
     return client.receive();
   }
 
@@ -81,7 +81,7 @@
 TEST_F(Leveled, ShedsWhileAnswersAreSlowKeepsLoadsAndComesBackByItself) {
   start(kLevels);
   EXPECT_EQ(ask("lookup").kind, Kind::kServed);
-  slow_ms = 60;
+  slow_ms = 90;
   ASSERT_TRUE(load_until("service level full -> reduced: slowdown"));
   const FrontAnswer shed = ask("lookup");
   EXPECT_EQ(shed.kind, Kind::kRefused);
@@ -99,7 +99,7 @@
 
 TEST_F(Leveled, AReloadWithoutLevelsEndsTheOneInForce) {
   start(kLevels);
-  slow_ms = 60;
+  slow_ms = 90;
   ASSERT_TRUE(load_until("service level full -> reduced"));
   EXPECT_EQ(ask("lookup").kind, Kind::kRefused);
   controller->replace_limits("version: 1\n...\n");
@@ -123,7 +123,7 @@
 
 TEST_F(Leveled, TheSignalsThatWerePrintedCanBeReplayed) {
   start(kLevels);
-  slow_ms = 60;
+  slow_ms = 90;
   ASSERT_TRUE(load_until("service level full -> reduced"));
   controller->counters();
   std::istringstream lines(controller->log());
