A shed query is told when to come back only where the settings allow; twins made one

Cause, found on reading the whole change: the reducer wrote the shedding of a query twice, and both told a time to come back whether or not the settings have retryAfter, unlike the limits. One function does it now and looks; a test fails without it.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -6,9 +6,6 @@
 #include "limits/explain.h"
 
 namespace orchidgw::cli {
-namespace {
-
-// Loads both files; says all that is wrong and gives nothing then.
 std::optional<configuration::Configuration> load(const configuration::Sources& sources, std::ostream& err) {
   try {
     return configuration::load(sources, nullptr);
@@ -20,8 +17,6 @@
   return std::nullopt;
 }
 
-}  // namespace
-
 int run_check(const configuration::Sources& sources, std::ostream& out, std::ostream& err) {
   const auto loaded = load(sources, err);
   if (!loaded) return kBad;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,12 +1,16 @@
 // The commands that only read and tell: check, explain, version. Each returns the exit code.
 #pragma once
 
+#include <optional>
 #include <ostream>
 
 #include "cli/command_line.h"
 
 namespace orchidgw::cli {
 
+// Loads both files; says all that is wrong, a line each, and gives nothing then.
+std::optional<configuration::Configuration> load(const configuration::Sources& sources, std::ostream& err);
+
 int run_check(const configuration::Sources& sources, std::ostream& out, std::ostream& err);
 int run_explain(const CommandLine& line, std::ostream& out, std::ostream& err);
 int run_version(std::ostream& out);
--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <stdexcept>
 
+#include "cli/commands.h"
 #include "service_level/service_level.h"
 
 namespace orchidgw::cli {
@@ -50,9 +51,10 @@
 
 int run_replay(const configuration::Sources& sources, const std::string& signals, std::ostream& out,
                std::ostream& err) {
+  const auto loaded = load(sources, err);
+  if (!loaded) return kBad;
   try {
-    const auto loaded = configuration::load(sources, nullptr);
-    if (!loaded.levels || loaded.levels->levels.empty())
+    if (!loaded->levels || loaded->levels->levels.empty())
       throw std::runtime_error("the operators' file states no levels");
     std::ifstream file;
     if (signals != "-") {
@@ -61,16 +63,14 @@
     }
     try {
       service_level::Recording recording(signals == "-" ? std::cin : file);
-      for (const service_level::SignalKey& key : service_level::signals_of(*loaded.levels))
+      for (const service_level::SignalKey& key : service_level::signals_of(*loaded->levels))
         if (!recording.has(key))
           err << "orchidgw: the recording lacks " << column_of(key) << ": it can't be told\n";
-      play(*loaded.levels, recording, out);
+      play(*loaded->levels, recording, out);
     } catch (const std::runtime_error& e) {
       throw std::runtime_error(signals + ": " + e.what());
     }
     return kGood;
-  } catch (const configuration::ConfigurationError& e) {
-    for (const std::string& line : e.lines()) err << "orchidgw: " << line << '\n';
   } catch (const std::exception& e) {
     err << "orchidgw: " << e.what() << '\n';
   }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -124,9 +124,7 @@
   if (levels_.on()) {
     levels_.meters()->taken(now_, r.class_name, r.tenant);
     query.deadline = now_ + r.time_budget;
-    const service_level::ShedQuery seen = as_shed_sees(query);
-    if (levels_.sheds(seen) != nullptr)
-      return turn_away(id, Reason::kShed, levels_.come_back_in(seen, settings_.limits.max_retry_after));
+    if (levels_.sheds(as_shed_sees(query)) != nullptr) return shed(id);
   }
   const limits::Verdict verdict =
       limiter_.admit(now_, {id, class_index, r.tenant, use.table, !r.idempotency_key.empty(), r.time_budget});
@@ -221,6 +219,12 @@
   shed_those_held();
 }
 
+// With a time to come back only where the settings let one be told.
+void Reducer::shed(QueryId id) {
+  const TimeUs most = settings_.limits.retry_after ? settings_.limits.max_retry_after : 0;
+  turn_away(id, Reason::kShed, levels_.come_back_in(as_shed_sees(queries_.at(id)), most));
+}
+
 // A change of level meets those that wait, too: what is shed now is answered at once. None was sent anywhere.
 void Reducer::shed_those_held() {
   std::vector<QueryId> held;
@@ -232,7 +236,7 @@
     QueryState& query = queries_.at(id);
     if (query.ended || !query.attempts.empty()) continue;  // sent meanwhile, in the place of one before
     const bool with_module = query.let_in;
-    turn_away(id, Reason::kShed, levels_.come_back_in(as_shed_sees(query), settings_.limits.max_retry_after));
+    shed(id);
     if (with_module) module_->on_client_gone(now_, id, *this);
   }
 }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -137,6 +137,7 @@
   void release_those_due();
   service_level::ShedQuery as_shed_sees(const QueryState& query) const;
   void sample_signals(TimeUs due);
+  void shed(QueryId id);
   void shed_those_held();
   void tell_levels_of_engines();
   void note_answered(const QueryState& query, bool late);
--- a/src/limits/check.cpp
+++ b/src/limits/check.cpp
@@ -177,12 +177,7 @@
 
   void check_route(std::size_t i) {
     const Route& route = file_.routes[i];
-    const auto like = route.like ? by_name_.find(route.like->value) : by_name_.end();
-    const Bounds* model = like == by_name_.end() ? nullptr : &like->second->bounds;
-    check_bounds(
-        settings_,
-        {path_of(i), &route.bounds, inherited(route.bounds, model, file_.defaults), classes_of(route.match)},
-        faults_);
+    check_bounds(settings_, {path_of(i), &route.bounds, effective(route), classes_of(route.match)}, faults_);
   }
 
   // Further attempts of all routes together against the rule that rations them (rule 7).
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -175,12 +175,6 @@
   return it == queries_.end() ? Reason::kNone : it->second.pass->forbidden();
 }
 
-const std::string& Limiter::route_of(QueryId id) const {
-  static const std::string kNone;
-  const auto it = queries_.find(id);
-  return it == queries_.end() ? kNone : it->second.pass->limits().name;
-}
-
 // Sets when the route's line is looked at next: at once while it may move, at the next token otherwise.
 void Limiter::schedule(TimeUs now, const std::shared_ptr<RouteState>& state) {
   if (state->wakes_at > 0) wakes_.erase({state->wakes_at, state->serial});
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -54,7 +54,6 @@
   TimeUs time_for(QueryId id, TimeUs time_budget) const;
   std::shared_ptr<const QueryLimits> pass_of(QueryId id) const;  // null: under none
   Reason forbidden(QueryId id) const;                            // why it got no further attempt
-  const std::string& route_of(QueryId id) const;                 // "" under none
 
   // The next query whose wait is over by now; each comes once.
   std::optional<Release> next_release(TimeUs now);
--- a/src/service_level/service_level.h
+++ b/src/service_level/service_level.h
@@ -71,7 +71,7 @@
   // The general ladder's level, "full" without one; and the time spent in each so far, by ladder and level.
   std::string general_level() const;
   std::string status(TimeUs now) const;  // a line for each ladder
-  const std::map<std::string, TimeUs>& time_in() const { return *time_in_; }
+  const std::map<std::string, TimeUs>& time_in() const { return time_in_; }
   std::uint64_t changes_made() const;
   const Recorder* recorder() const { return recorder_.get(); }
 
@@ -95,7 +95,7 @@
   std::unique_ptr<Recorder> recorder_;
   std::vector<Scope> scopes_;
   std::shared_ptr<InForce> in_force_ = std::make_shared<InForce>();
-  std::shared_ptr<std::map<std::string, TimeUs>> time_in_ = std::make_shared<std::map<std::string, TimeUs>>();
+  std::map<std::string, TimeUs> time_in_;
   TimeUs last_sample_ = 0;
 };
 
--- a/tests/reducer/levels_test.cpp
+++ b/tests/reducer/levels_test.cpp
@@ -89,6 +89,16 @@
   EXPECT_EQ(answers[1], std::vector<std::string>{"served r\n"});
 }
 
+TEST_F(LevelsTest, WithoutRetryAfterInTheSettingsNoTimeIsTold) {
+  settings.limits.retry_after = false;
+  begin();
+  levels(kFewEngines, "{shed: [{class: report}]}");
+  drain(1);
+  run_until(now + 1 * kSecond);
+  request(1, "report");
+  EXPECT_EQ(answers[1], std::vector<std::string>{"refused 0"});
+}
+
 TEST_F(LevelsTest, GrantsAndPrioritiesAreReduced) {
   settings.grants = true;
   settings.priorities = true;
