Runaway attempts are cancelled and sent again once; pressed engines are tested first

Checked: watch_silence gives up only silent attempts where notes come (the 'notes ? !quiet : !late' line), so a bad plan ran to its time-out. Now a progress note whose pace would take four times what the class takes now cancels the attempt once a query, while a new one has time.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -29,6 +29,7 @@
 constexpr TimeUs kTick = 20 * kMs;          // housekeeping period: expiry of held queries, silence
 constexpr TimeUs kAnswerMargin = 60 * kMs;  // a held query is answered this long before its time ends
 constexpr double kOverdue = 4.0;            // x what its class takes now: an answer counts as lost
+constexpr double kRunaway = 4.0;            // x what its class takes now, at the pace notes tell: a bad plan
 constexpr TimeUs kNotesMissed = 3;          // x the progress interval without a sign of life: silent
 constexpr TimeUs kTrial = 1'500 * kMs;      // a suspect engine gets one trial query this often
 constexpr double kEngineWeight = 0.2, kErrorShare = 0.3;   // of one answer; failed ones: suspect
@@ -240,7 +241,8 @@
     if (n.kind == NoteKind::kWait && n.value >= 2)
       e.stalled[h.q.table_group] = now + 2 * std::max(s_.progress_interval, kTick);
     if (n.kind == NoteKind::kWait && n.value < 2) crowd(e, now);
-    pump(now, sink);
+    if (n.kind == NoteKind::kProgress && runaway(h, a, n.value, now)) rescue(now, h, n.attempt, sink);
+    if (n.kind != NoteKind::kProgress) pump(now, sink);  // progress frees nothing; the tick places soon
   }
 
   void on_stream_started(TimeUs, QueryId, const EngineId&, ActionSink&) override {}  // no class streams yet
@@ -504,6 +506,9 @@
     int best_rank = 0;
     if (!pool_allows(h)) return nullptr;
     for (Engine* e : walk_order(h.q.table_group, cls(h).load)) {
+      // Guards against running out of CPU at full size: the cheap test of a pressed engine goes first.
+      const bool pressed = e->slowdown > kPressure || now - e->last_full < kFullMemory;
+      if (pressed && !under_bounds(h, *e)) continue;
       const bool tried = std::any_of(h.attempts.begin(), h.attempts.end(),
                                      [&](const Attempt& a) { return a.to.id == e->entry.id; });
       const int rank = out_of_turn(h, *e) + (tried ? kTriedRank : 0);
@@ -511,8 +516,7 @@
       if (stalled_for(h, *e, now) || !healthy(*e, h, now)) continue;
       if (!may_send(h, *e, now) || !memory_allows(h, *e)) continue;
       const bool open = h.q.tenant.empty() || budget(*e, h.q.tenant) > 0;
-      const bool pressed = e->slowdown > kPressure || now - e->last_full < kFullMemory;
-      if ((!open || pressed) && !under_bounds(h, *e)) continue;
+      if (!open && !under_bounds(h, *e)) continue;
       best = e;
       best_rank = rank;
       if (rank == 0) break;
@@ -814,6 +818,15 @@
     return static_cast<TimeUs>(longest);
   }
 
+  // Guards against a bad plan (drawn anew for each attempt): the pace that notes tell would take several
+  // times what the class takes now; once a query, and only if a new attempt still has time to end.
+  bool runaway(const Held& h, const Attempt& a, double done, TimeUs now) {
+    const double took = static_cast<double>(now - a.sent_at), expected = learned(h).slow * ideal(h);
+    const bool again = std::any_of(h.attempts.begin(), h.attempts.end(), [](auto& x) { return x.given_up; });
+    return !a.given_up && !again && took / std::max(done, 0.01) > kRunaway * expected &&
+           static_cast<double>(h.deadline - now) > 2 * expected;
+  }
+
   // A query stuck on a silent engine goes elsewhere, as a second copy or after a cancel.
   void rescue(TimeUs now, Held& h, int n, ActionSink& sink) {
     h.attempts[static_cast<size_t>(n)].given_up = true;
