--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -200,10 +200,8 @@
       thin_key_line(now, q.key, sink);
     }
     pump(now, sink);
-    const auto it = queries_.find(q.id);
-    if (it == queries_.end() || !it->second.waiting) return;
-    if (spent(it->second)) return answer(now, it->second, sink), forget_if_over(now, q.id);  // DESIGN
-    sink.set_timer(std::max<TimeUs>(give_up_at(it->second) - now, 1), kTokenWake);
+    if (const auto it = queries_.find(q.id); it != queries_.end() && it->second.waiting)
+      sink.set_timer(std::max<TimeUs>(give_up_at(it->second) - now, 1), kTokenWake);
   }
 
   void on_outcome(TimeUs now, const Outcome& o, ActionSink& sink) override {
@@ -402,15 +400,6 @@
     return e.cores * static_cast<double>(kWindow) * share_ / tenants;
   }
 
-  // A query that found no place is refused at once where its tenant's budget is spent on every engine that
-  // it may go to, rather than held until its aim is out of reach: the client may ask again in time.
-  bool spent(const Held& h) {
-    if (h.q.tenant.empty()) return false;
-    return std::none_of(engines_.begin(), engines_.end(), [&](auto& p) {
-      return p.second.listed && placement_allows(cls(h), p.second) && budget(p.second, h.q.tenant) > 0;
-    });
-  }
-
   double& budget(Engine& e, const std::string& tenant) {
     const auto [it, fresh] = e.left.try_emplace(tenant, 0.0);
     if (fresh) it->second = slice(e);
