Where engines page instead of granting, estimated memory is counted as grants would be

Ruled out: the heavy queries' CPU alone (they were already charged by their estimates; the bounds bind only under pressure). Now with grants or paging, memory is counted: the estimate where there are no grants, with no terms sent for it and nothing learned of grants. Tests: memory counted where engines page, not where they wait; 238 unit tests pass.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -321,17 +321,20 @@
     return l.mean > 0 ? l.mean : static_cast<double>(s_.classes[c].aim) * 0.5;
   }
 
-  double wanted_mb(const Held& h) { return h.q.memory_mb * learned(h).grant; }
+  // Without grants, where the engine lets all in and slows all once memory is over (page), the estimate of
+  // memory is counted as a grant would be: the design's "memory may be checked likewise".
+  double wanted_mb(const Held& h) { return h.q.memory_mb * (s_.grants ? learned(h).grant : 1.0); }
 
   double grant_for(const Held& h, const Engine& e) {
-    if (!s_.grants || h.q.memory_mb <= 0) return 0;
+    if (!counts_memory_ || h.q.memory_mb <= 0) return 0;
+    if (!s_.grants) return wanted_mb(h);
     const double most = std::min(s_.max_grant_share, kGrantMost);
     return e.memory_mb > 0 ? std::min(wanted_mb(h), e.memory_mb * most) : wanted_mb(h);
   }
 
   // The grant tends to what all but a few need; first steps are long, as estimates may be far too low.
   void learn_grant(Learned& l, const Attempt& a, bool spilled) {
-    if (a.grant_mb <= 0) return;
+    if (a.grant_mb <= 0 || !s_.grants) return;
     const double step = std::max(kGrantStep, 1.0 / (2.0 + l.grants++));
     l.grant = std::clamp(l.grant * std::exp(step * (spilled ? 1 - kGrantSpill : -kGrantSpill)), 0.1, 10.0);
   }
@@ -488,7 +491,7 @@
   // Memory is checked likewise (DESIGN leaves it open): queries wait here in order of worth, not in the
   // engine.
   bool memory_allows(const Held& h, const Engine& e) {
-    if (!s_.grants || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
+    if (!counts_memory_ || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
     return e.granted_mb + grant_for(h, e) <= e.memory_mb * share_ * ease(e) * e.room;
   }
 
@@ -499,7 +502,7 @@
     if (h.cost <= mean_work_ || pool_.threads <= 0) return true;
     const double most = kThreadsPerCore * pool_.cores * share_;
     if (pool_.slowdown > kPressure && pool_.threads + cls(h).threads > most) return false;
-    return !s_.grants || pool_.granted_mb + wanted_mb(h) <= pool_.memory_mb * share_;
+    return !counts_memory_ || pool_.granted_mb + wanted_mb(h) <= pool_.memory_mb * share_;
   }
 
   // The first engine of the group's order whose turn it is, else the one nearest to its turn.
@@ -661,7 +664,8 @@
     a.charge = h.cost;
     a.grant_mb = grant_for(h, e);
     const int priority = s_.priorities ? priority_for(h) : 1;
-    if (a.grant_mb > 0 || priority != 1) sink.set_terms(h.q.id, priority, std::floor(a.grant_mb));
+    const double grant = s_.grants ? std::floor(a.grant_mb) : 0;  // else only counted here
+    if (grant > 0 || priority != 1) sink.set_terms(h.q.id, priority, grant);
     if (!h.q.tenant.empty()) budget(e, h.q.tenant) -= a.charge;
     e.threads += c.threads;
     e.granted_mb += a.grant_mb;
@@ -837,6 +841,7 @@
   }
 
   Settings s_;
+  bool counts_memory_ = s_.grants || s_.when_short == WhenShort::kPage;
   bool started_ = false;
   TimeUs started_at_ = 0, reset_at_ = 0, ask_again_ = 0;
   double share_, quota_ = 0;
--- a/tests/unit/module_test.cpp
+++ b/tests/unit/module_test.cpp
@@ -755,6 +755,33 @@
   EXPECT_TRUE(sink.cancelled.empty());
 }
 
+// Engines that let every query in and slow all of them once memory is over were filled past their memory:
+// nothing was counted where there are no grants.
+TEST_F(Module, WhereEnginesPageWithoutGrantsEstimatedMemoryIsCounted) {
+  s.when_short = WhenShort::kPage;
+  begin(1);  // 16,000 MB
+  Query q = query(1, 7);
+  q.memory_mb = 9000;
+  take(q);
+  q.id = 2;
+  take(q);
+  EXPECT_EQ(sends_of(1), 1u);
+  EXPECT_EQ(sends_of(2), 0u);                                                 // held until the first ends
+  EXPECT_TRUE(sink.terms.empty() || sink.terms.begin()->second.second == 0);  // no grant is asked for
+  answer(0, OutcomeKind::kOk);
+  EXPECT_EQ(sends_of(2), 1u);
+}
+
+TEST_F(Module, WhereEnginesWaitWithoutGrantsMemoryIsNotCounted) {
+  begin(1);
+  Query q = query(1, 7);
+  q.memory_mb = 9000;
+  take(q);
+  q.id = 2;
+  take(q);
+  EXPECT_EQ(sends_of(2), 1u);  // as before the move
+}
+
 // Queries that may go anywhere filled the engines that one class is bound to, while the others stood idle.
 TEST_F(Module, EnginesThatAClassIsBoundToAreSparedByOthers) {
   s.gateways = 50;
