The settings the module reads for the new shape are checked; a test of both shapes at once

The module now reads domain.whenShort (memory is counted where engines page) and judges attempts by domain.progressPace; both come from the program's configuration as before, through the one settings reader. Checked now, each with one line naming the field: whenShort must be line_up, cut or overcommit (a misspelt word passed for line_up before), progressPace 0 or more, each kind 1 core or more and 0 MB or more. Defaults are as before (line_up, no notes), so the old shape behaves as it did.

--- a/src/config/settings_reader.cpp
+++ b/src/config/settings_reader.cpp
@@ -97,11 +97,19 @@
   s.priorities = flag_in(domain, "lanesCount", false);
   s.tells_cost = flag_in(domain, "bills", false);
   s.max_grant_share = number_in(domain, "mostGrant", 1);
+  // The module counts memory where engines page ("overcommit"): a word misspelt must not pass for "line_up".
   const std::string when_short = text_in(domain, "whenShort", "line_up");
+  if (when_short != "line_up" && when_short != "cut" && when_short != "overcommit")
+    wrong("domain.whenShort", "line_up, cut or overcommit is needed");
   s.when_short = when_short == "cut"          ? WhenShort::kShrink
                  : when_short == "overcommit" ? WhenShort::kPage
                                               : WhenShort::kWait;
+  // Notes' pace judges runaway attempts; a negative one would have every note look late.
   s.progress_interval = integer_in(domain, "progressPace", 0);
+  if (s.progress_interval < 0) wrong("domain.progressPace", "0 or more microseconds is needed");
+  for (const auto& k : s.kinds)
+    if (k.cores < 1 || k.memory_mb < 0)
+      wrong("domain.sizeCores", "1 core or more and memory of 0 MB or more");
   s.over_share_worth = number_in(env, "overShareWorth", 1);
   return s;
 }
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -54,7 +54,8 @@
          std::to_string(options.memory_mb) + R"(,"sockets":)" + std::to_string(options.sockets) +
          R"(},"changelog":")" + options.change_log +
          R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,"members":[)" +
-         members + R"(]}}]},"settings":)" + settings_json() + "}";
+         members + R"(]}}]},"settings":)" + (options.settings.empty() ? settings_json() : options.settings) +
+         "}";
 }
 
 }  // namespace
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -66,6 +66,22 @@
   EXPECT_EQ(complaint(config()), "none");
 }
 
+// The settings that the module reads for the new deployments: a misspelt word passed for the old shape.
+TEST(ControllerConfig, TheShapeOfAnEngineIsChecked) {
+  const auto with = [](const std::string& domain) {
+    std::string settings = kSettings;
+    settings.replace(settings.find(R"("domain":{)") + 10, 0, domain);
+    return config("\"10.0.0.4:1\"", settings);
+  };
+  EXPECT_EQ(complaint(with(R"("whenShort":"overcommit",)")), "none");
+  EXPECT_EQ(parse_controller_config(with(R"("whenShort":"overcommit",)")).settings.when_short,
+            WhenShort::kPage);
+  EXPECT_EQ(parse_controller_config(config()).settings.when_short, WhenShort::kWait);  // as before
+  EXPECT_NE(complaint(with(R"("whenShort":"page",)")).find("domain.whenShort"), std::string::npos);
+  EXPECT_NE(complaint(with(R"("progressPace":-5,)")).find("domain.progressPace"), std::string::npos);
+  EXPECT_NE(complaint(with(R"("kindMemoryMb":[-1],)")).find("domain.sizeCores"), std::string::npos);
+}
+
 TEST(ControllerConfig, DeeplyNestedInputDoesNoHarm) {
   EXPECT_NE(complaint(std::string(1'000'000, '[')).find("BALANCER_CONFIG"), std::string::npos);
 }
