--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -40,11 +40,9 @@
 constexpr double kGrantStart = 1.25;  // x the estimate, before anything is learned
 constexpr double kGrantStep = 0.1;    // how fast that multiple moves (log scale, per answer)
 constexpr double kColdShare = 0.5, kColdOne = 0.2;  // of the cold allowance: all; one query by turn
-constexpr double kLoadLength = 8.0;  // x its ideal time that a neighbour's load is believed to last
-constexpr std::uint32_t kAllGroups = 0xffffffff;  // in news: no load, the engine is slow
-constexpr int kTriedRank = 100;                   // engines tried before come after all others
-constexpr size_t kOrdersMost = 4096;              // groups whose order is kept
-constexpr size_t kScanMost = 48;                  // held queries tried for a place at one event
+constexpr int kTriedRank = 100;                     // engines tried before come after all others
+constexpr size_t kOrdersMost = 4096;                // groups whose order is kept
+constexpr size_t kScanMost = 48;                    // held queries tried for a place at one event
 constexpr std::uint64_t kTokenTick = 1, kTokenReset = 2, kTokenWake = 3;
 
 std::uint64_t mix(std::uint64_t x) {
@@ -85,8 +83,8 @@
   std::uint64_t seq = 0;
   std::vector<Attempt> attempts;
   bool ended = false;
-  bool waiting = false;  // in the holding line
-  bool redrawn = false;  // an attempt of it was cancelled for its pace
+  bool waiting = false;     // in the holding line
+  bool redrawn = false;     // an attempt of it was cancelled for its pace
   std::uint64_t tried = 0;  // the last events' count at which it found no place
   int in_flight() const {
     return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.open; }));
@@ -119,7 +117,6 @@
 struct Learned {
   double told = 0, estimated = 0;  // decayed sums: how far estimates of cost are off
   double mean = 0;                 // us of CPU; 0: nothing learned yet
-  double work = 0, cores = 0;      // us of CPU that it asks for in each query; cores that it may use
   double slow = 1;                 // x the ideal time that answers take
   double base = 0;                 // where costs are not told: latency x threads per estimate when calm
   double grant = kGrantStart, grants = 0;  // multiple of the estimate; how often it was learned
@@ -131,18 +128,16 @@
   double slowdown = 1;                 // mean over the answers of all engines
 };
 
-struct KeyLine {
-  std::deque<QueryId> line;
-  TimeUs rest_until = 0;
-};
-
 class WorkloadBudget final : public DecisionModule {
  public:
   explicit WorkloadBudget(const Settings& settings)
       : s_(settings), share_(1.0 / s_.gateways), learned_(s_.classes.size()) {
     if (s_.gateways < 1 || s_.classes.empty()) throw std::invalid_argument("no gateways or no classes");
-    for (const auto& c : s_.classes)
+    for (const auto& c : s_.classes) {
       if (c.threads < 1 || c.deadline <= 0) throw std::invalid_argument("class without threads or deadline");
+      // No deployment asks for order now; rather no start than rule 5 broken unseen.
+      if (c.in_order) throw std::invalid_argument("class " + c.name + " asks for order, which is not kept");
+    }
     for (const auto& t : s_.tenants) quota_ += t.quota_per_s;
   }
 
@@ -166,13 +161,10 @@
     std::erase_if(engines_, [](const auto& p) { return !p.second.listed && p.second.out.empty(); });
     orders_.clear();
     pool_.engines = pool_.cores = pool_.memory_mb = 0;
-    for (Learned& l : learned_) l.cores = 0;
     for (const auto& [id, e] : engines_) {
       pool_.engines += e.listed;
       pool_.cores += e.listed * e.cores;
       pool_.memory_mb += e.listed * e.memory_mb;
-      for (size_t c = 0; c < learned_.size(); ++c)
-        learned_[c].cores += e.listed * placement_allows(s_.classes[c], e) * e.cores;
     }
     pump(now, sink);
   }
@@ -194,13 +186,8 @@
     const double w = std::max(kMeanWeight, 1.0 / static_cast<double>(seq_));
     mean_value_ += w * (c.value - mean_value_);
     mean_work_ += w * (h.cost - mean_work_);
-    for (Learned& l : learned_) l.work += w * ((&l == &learned(h) ? h.cost : 0.0) - l.work);
     hold(h);
-    if (c.in_order && !q.key.empty()) {
-      keys_[q.key].line.push_back(q.id);
-      thin_key_line(now, q.key, sink);
-    }
-    pump(now, sink, c.in_order);  // a key's line may have moved
+    pump(now, sink, false);
     if (const auto it = queries_.find(q.id); it != queries_.end() && it->second.waiting)
       sink.set_timer(std::max<TimeUs>(give_up_at(it->second) - now, 1), kTokenWake);
   }
@@ -219,11 +206,8 @@
     if (o.ended) end(h);
     if (o.ended && h.q.limits) cancel_open(h, sink);  // the copy that lost
     if (!h.ended) next_step(now, h, sink);
-    const std::int64_t freed = cls(h).load ? h.q.table_group : kAllGroups;
-    const Engine& e = engines_.at(a.to.id);
     forget_if_over(now, o.query);
-    pump(now, sink);  // told as free only if no load of this gateway took the place
-    if (freed != kAllGroups && e.loads.count(freed) == 0) tell(freed, e, 0, sink);
+    pump(now, sink);
   }
 
   void on_note(TimeUs now, const Note& n, ActionSink& sink) override {
@@ -261,19 +245,7 @@
 
   void on_probe(TimeUs, const EngineId&, bool, const LoadReport&, ActionSink&) override {}
 
-  // A neighbour's load began on an engine, or ended (0 ticks), or it found the engine slow for all groups.
-  void on_peer(TimeUs now, int, const std::string& bytes, ActionSink&) override {
-    std::uint64_t news[2];  // engine; table group and ticks that a load is expected to take
-    if (bytes.size() != sizeof news) return;
-    std::memcpy(news, bytes.data(), sizeof news);
-    for (auto& [id, e] : engines_)
-      if (e.hash == news[0] && news[1] >> 16 == kAllGroups) {
-        learn_slowdown(e, kSlowMost);
-      } else if (e.hash == news[0]) {
-        e.stalled[static_cast<std::int64_t>(news[1] >> 16)] =
-            now + static_cast<TimeUs>(news[1] & 0xffff) * kTick;
-      }
-  }
+  void on_peer(TimeUs, int, const std::string&, ActionSink&) override {}  // no peers to hear
 
   void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
     if (token == kTokenReset) {
@@ -292,11 +264,10 @@
         std::erase_if(e.stalled, [&](const auto& p) { return p.second <= now; });
       }
       watch_silence(now, sink);
-      std::erase_if(keys_, [&](auto& k) { return k.second.line.empty() && k.second.rest_until <= now; });
     }
     if (ask_again_ > 0 && now >= ask_again_) ask_again_ = 0, sink.subscribe();
     expire(now, sink);
-    pump(now, sink, token != kTokenWake || keyed_);  // a query's own wake frees nothing but a key's line
+    pump(now, sink, token != kTokenWake);  // a query's own wake frees nothing
   }
 
  private:
@@ -410,15 +381,6 @@
     return it->second;
   }
 
-  // Guards against filling engines that other classes are bound to: what those leave there is free.
-  double free_part(const Held& h, const Engine& e) const {
-    double free = 1;
-    for (size_t c = 0; c < learned_.size() && !cls(h).zones && !cls(h).kinds; ++c)
-      if ((s_.classes[c].zones || s_.classes[c].kinds) && placement_allows(s_.classes[c], e))
-        free -= learned_[c].work / mean_work_ * pool_.cores / learned_[c].cores;
-    return std::max(free, kFreeLeast);
-  }
-
   // This gateway's place, 0 to 1, in the line that all gateways form for an engine in a window, each at its
   // own.
   double turn_at(const Engine& e, std::uint64_t window) const {
@@ -434,21 +396,13 @@
   int out_of_turn(const Held& h, Engine& e) {
     if (h.q.tenant.empty()) return 0;
     const double left = budget(e, h.q.tenant);
-    const double all = slice(e) * free_part(h, e);
+    const double all = slice(e);
     const double heat = std::max(1.0, e.slowdown / (kHot * pool_.slowdown));
     const double turn = left < all ? 1.0 : turn_at(e, window_);
     const double ratio = heat * heat * (h.cost <= all ? 1.0 : turn * (h.cost + all - left) / all);
     return ratio <= 1 ? 0 : std::ilogb(ratio) + 1;
   }
 
-  // Readers and other loads of the group stand still behind a load: neighbours that can hear are told of it.
-  void tell(std::int64_t group, const Engine& e, double length, ActionSink& sink) {
-    if (!s_.limits.peers || s_.gateways < 2) return;
-    const auto ticks = static_cast<std::uint64_t>(std::min(length / kTick, 65535.0));
-    const std::uint64_t news[2] = {e.hash, static_cast<std::uint64_t>(group) << 16 | ticks};
-    sink.tell_all({reinterpret_cast<const char*>(news), sizeof news});
-  }
-
   // --- Routing --------------------------------------------------------------------------------------------
   // Rendezvous order of the table group: the same at every gateway, stable as engines come and go. Kept until
   // the list changes, lest each query cost a ranking of the whole fleet.
@@ -560,23 +514,6 @@
     }
   }
 
-  // A key's queries run one at a time, so a busy key has a longer line than it can serve. Refuses the longest
-  // early, until the rest can start in time (Moore and Hodgson's rule: the fewest are turned away).
-  void thin_key_line(TimeUs now, const std::string& key, ActionSink& sink) {
-    double start = static_cast<double>(now);
-    Held* longest = nullptr;
-    for (const QueryId id : keys_.at(key).line) {
-      Held& h = queries_.at(id);
-      if (!h.ended && h.attempts.empty() && (!longest || h.cost > longest->cost)) longest = &h;
-      if (longest && start > static_cast<double>(give_up_at(h))) {
-        answer(now, *longest, sink);
-        forget_if_over(now, longest->q.id);
-        return thin_key_line(now, key, sink);
-      }
-      start += h.ended ? 0 : ideal(h);
-    }
-  }
-
   // Places held queries, those with most worth per CPU second first.
   // Guards against running out of CPU at full size: a new query frees nothing, so at its arrival those that
   // found no place since the last other event are not walked through the fleet again.
@@ -586,8 +523,10 @@
     for (auto it = line_.begin(); it != line_.end() && tried++ < kScanMost;) {
       Held& h = queries_.at(std::get<2>(*it++));
       if (h.tried == epoch_) continue;
-      if (Engine* e = route(h, now)) send(now, h, *e, sink);
-      else h.tried = epoch_;
+      if (Engine* e = route(h, now))
+        send(now, h, *e, sink);
+      else
+        h.tried = epoch_;
     }
   }
 
@@ -599,8 +538,8 @@
     if (sent >= s_.limits.max_attempts) return false;
     if (h.q.limits && !h.q.limits->may_send(now, sent, h.in_flight())) return false;
     return e.listed  // rule 3: from the moment a drain is told, well inside the grace
-           && effect_allows(h, c, e, now) && placement_allows(c, e) && order_allows(h, c, now) &&
-           ration_allows(h, now) && cold_allows(h, e, now);
+           && effect_allows(h, c, e, now) && placement_allows(c, e) && ration_allows(h, now) &&
+           cold_allows(h, e, now);
   }
 
   bool effect_allows(const Held& h, const ClassSettings& c, const Engine& e, TimeUs now) const {  // rule 2
@@ -622,12 +561,6 @@
     return has(c.zones, e.entry.zone) && has(c.kinds, e.entry.kind);
   }
 
-  bool order_allows(const Held& h, const ClassSettings& c, TimeUs now) const {  // rule 5
-    if (!c.in_order || h.q.key.empty()) return true;
-    const KeyLine& k = keys_.at(h.q.key);
-    return !k.line.empty() && k.line.front() == h.q.id && now >= k.rest_until;
-  }
-
   bool ration_allows(const Held& h, TimeUs now) {  // rule 7
     if (h.attempts.empty() || !s_.rules.attempts_rationed) return true;
     while (!taken_.empty() && taken_.front() <= now - s_.rules.extra_window) taken_.pop_front();
@@ -677,7 +610,7 @@
     e.granted_mb += a.grant_mb;
     pool_.threads += c.threads;
     pool_.granted_mb += a.grant_mb;
-    if (c.load) ++e.loads[h.q.table_group], tell(h.q.table_group, e, kLoadLength * ideal(h), sink);
+    if (c.load) ++e.loads[h.q.table_group];
     if (cold(e, now)) {
       while (!e.sent.empty() && e.sent.front().first < now - 2 * s_.rules.fall_window) e.sent.pop_front();
       e.sent.emplace_back(now, h.cost);
@@ -741,16 +674,9 @@
       if (h.attempts[i].open && s_.limits.cancel) sink.cancel(h.q.id, static_cast<int>(i));
   }
 
-  void forget_if_over(TimeUs now, QueryId id) {
+  void forget_if_over(TimeUs /*now*/, QueryId id) {
     const auto it = queries_.find(id);
     if (it == queries_.end() || !it->second.ended || it->second.in_flight() > 0) return;
-    const Held& h = it->second;
-    if (cls(h).in_order && !h.q.key.empty()) {
-      KeyLine& k = keys_.at(h.q.key);
-      std::erase(k.line, id);
-      for (const Attempt& a : h.attempts)  // errors too: the key's rest costs little
-        if (a.outcome != OutcomeKind::kOk && !never_ran(a.outcome)) k.rest_until = now + s_.rules.key_rest;
-    }
     queries_.erase(it);
   }
 
@@ -811,7 +737,6 @@
         // Guards against waiting behind a load that nobody tells of, at an engine that answers others.
         const bool held = news && !notes && cls(h).waits_for_loads && e.last_sign > a.sent_at;
         if (held) e.stalled[h.q.table_group] = now + load_length();
-        if (news && !held && e.slowdown < kHot * pool_.slowdown) tell(kAllGroups, e, 0, sink);
         if (news) learn_slowdown(e, held ? kOverdue : kSlowMost);
         a.late = a.late || late;
         if (notes ? !quiet : !late) continue;
@@ -848,7 +773,6 @@
 
   Settings s_;
   bool counts_memory_ = s_.grants || s_.when_short == WhenShort::kPage;
-  bool keyed_ = std::any_of(s_.classes.begin(), s_.classes.end(), [](auto& c) { return c.in_order; });
   bool started_ = false;
   TimeUs started_at_ = 0, reset_at_ = 0, ask_again_ = 0;
   double share_, quota_ = 0;
@@ -858,7 +782,6 @@
   double mean_value_ = 0, mean_work_ = 0;                                 // of a query: worth, us of CPU
   std::map<EngineId, Engine> engines_;
   std::map<QueryId, Held> queries_;
-  std::map<std::string, KeyLine> keys_;
   std::set<std::tuple<double, std::uint64_t, QueryId>> line_;
   std::vector<Learned> learned_;
   std::deque<TimeUs> arrivals_, taken_, extras_;
