--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -20,7 +20,6 @@
 constexpr TimeUs kWindow = 5'000 * kMs;      // enforcement window (DESIGN)
 constexpr double kMeanBound = 1.25;          // x this gateway's mean threads per engine (DESIGN)
 constexpr double kThreadsPerCore = 2.0;      // threads per core, all gateways together (DESIGN)
-constexpr double kFreeLeast = 0.05;          // of an engine that is left to classes that are not bound to it
 constexpr double kHot = 1.5;                 // x the mean slowdown from which an engine's slices shrink
 constexpr double kPressure = 2.0;            // slowdown from which the bounds bind: answers take twice
 constexpr TimeUs kFullMemory = 1'000 * kMs;  // a "full" answer or a wait for memory is pressure for this long
