Module: what the clearing-up left dead goes; memory counting is asked of the settings

Read once more over the whole change. forget_if_over kept a time that only the key lines used; it is gone from its signature and its three callers. <cstring> served only the neighbours' news. Whether memory is counted was a member copied from the settings at construction; it is now a function of them, as the other switches are. The test sink kept the news it was told, which no test reads any more.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -4,7 +4,6 @@
 //      admission and holding | the guard of every send (rules 2-7) | attempts and answers (rule 1) | health
 #include <algorithm>
 #include <cmath>
-#include <cstring>
 #include <deque>
 #include <set>
 #include <stdexcept>
@@ -205,7 +204,7 @@
     if (o.ended) end(h);
     if (o.ended && h.q.limits) cancel_open(h, sink);  // the copy that lost
     if (!h.ended) next_step(now, h, sink);
-    forget_if_over(now, o.query);
+    forget_if_over(o.query);
     pump(now, sink);
   }
 
@@ -238,7 +237,7 @@
     if (it == queries_.end()) return;
     end(it->second);
     cancel_open(it->second, sink);
-    forget_if_over(now, id);
+    forget_if_over(id);
     pump(now, sink);
   }
 
@@ -294,10 +293,11 @@
 
   // Without grants, where the engine lets all in and slows all once memory is over (page), the estimate of
   // memory is counted as a grant would be: the design's "memory may be checked likewise".
+  bool counts_memory() const { return s_.grants || s_.when_short == WhenShort::kPage; }
   double wanted_mb(const Held& h) { return h.q.memory_mb * (s_.grants ? learned(h).grant : 1.0); }
 
   double grant_for(const Held& h, const Engine& e) {
-    if (!counts_memory_ || h.q.memory_mb <= 0) return 0;
+    if (!counts_memory() || h.q.memory_mb <= 0) return 0;
     if (!s_.grants) return wanted_mb(h);
     const double most = std::min(s_.max_grant_share, kGrantMost);
     return e.memory_mb > 0 ? std::min(wanted_mb(h), e.memory_mb * most) : wanted_mb(h);
@@ -445,7 +445,7 @@
   // Memory is checked likewise (DESIGN leaves it open): queries wait here in order of worth, not in the
   // engine.
   bool memory_allows(const Held& h, const Engine& e) {
-    if (!counts_memory_ || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
+    if (!counts_memory() || e.memory_mb <= 0 || e.granted_mb <= 0) return true;
     return e.granted_mb + grant_for(h, e) <= e.memory_mb * share_ * ease(e) * e.room;
   }
 
@@ -456,7 +456,7 @@
     if (h.cost <= mean_work_ || pool_.threads <= 0) return true;
     const double most = kThreadsPerCore * pool_.cores * share_;
     if (pool_.slowdown > kPressure && pool_.threads + cls(h).threads > most) return false;
-    return !counts_memory_ || pool_.granted_mb + wanted_mb(h) <= pool_.memory_mb * share_;
+    return !counts_memory() || pool_.granted_mb + wanted_mb(h) <= pool_.memory_mb * share_;
   }
 
   // The first engine of the group's order whose turn it is, else the one nearest to its turn.
@@ -509,7 +509,7 @@
         continue;
       }
       answer(now, h, sink);
-      forget_if_over(now, id);
+      forget_if_over(id);
     }
   }
 
@@ -673,7 +673,7 @@
       if (h.attempts[i].open && s_.limits.cancel) sink.cancel(h.q.id, static_cast<int>(i));
   }
 
-  void forget_if_over(TimeUs /*now*/, QueryId id) {
+  void forget_if_over(QueryId id) {
     const auto it = queries_.find(id);
     if (it == queries_.end() || !it->second.ended || it->second.in_flight() > 0) return;
     queries_.erase(it);
@@ -771,7 +771,6 @@
   }
 
   Settings s_;
-  bool counts_memory_ = s_.grants || s_.when_short == WhenShort::kPage;
   bool started_ = false;
   TimeUs started_at_ = 0, reset_at_ = 0, ask_again_ = 0;
   double share_, quota_ = 0;
--- a/tests/unit/module_test.cpp
+++ b/tests/unit/module_test.cpp
@@ -28,7 +28,7 @@
   void probe(const EngineId&) override {}
   void subscribe() override { ++subscribed; }
   void fetch_list() override {}
-  void tell_all(const std::string& bytes) override { told.push_back(bytes); }
+  void tell_all(const std::string&) override {}
   void set_timer(TimeUs delay, std::uint64_t token) override { timers.emplace(now + delay, token); }
   void log(const std::string&) override {}
 
@@ -36,7 +36,6 @@
   std::vector<Sent> sent;
   std::map<QueryId, TimeUs> refused;
   std::set<QueryId> failed;
-  std::vector<std::string> told;
   std::vector<std::pair<QueryId, int>> cancelled;
   std::map<QueryId, std::pair<int, double>> terms;
   std::multimap<TimeUs, std::uint64_t> timers;
