Held queries try the only engine again; a gateway's own stalls are not laid on its engines

Checked: buffers and descriptors were free and no call was open, so neither reading nor places held it up. At fault: - workload_budget.cpp, healthy(): a suspect engine got its trial from a query without an attempt alone. With one engine and all queries past their first try, nobody could ever try it. Now whoever has no engine left that is not suspect may, a query that may not be repeated too once it is known not to have run (effect_allows still decides). - watch_silence(), runaway() and settle(): time in which this gateway itself did not run counted as the engine's. The module's tick tells how late it is; that time is left out of each attempt's age, of the last sign of life and of learned latencies. - engine_connection.cpp: calls were ended as silent or not up in time by a loop that had not looked at its sockets. Attention counts what passed since the loop was to be back, and limits of time are counted without it. - reducer.cpp, conclude(): pages of an attempt that was given up stayed until its query ended: the 240 buffers. For a fleet: gateways that lost an engine at one moment try it again spread over 1.5 to 2.5 s, by their place in the engine's line, not all after 1.5 s.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -486,6 +486,9 @@
 void Reducer::conclude(QueryId id, std::size_t n, OutcomeKind kind) {
   AttemptState& a = attempt_at(id, n);
   a.phase = Phase::kOver;
+  // Guards against pages of an attempt that was given up staying for as long as its query waits: a pool full
+  // of them stops all reading.
+  if (kind != OutcomeKind::kOk) a.rows.clear();
   if (a.serial > 0) emit(CloseConnection{a.serial});
   touched_.push_back(id);
   finish(id, n, kind);
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -8,9 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"  // TimeUs: here microseconds on the event clock
+
 namespace orchidgw {
 
-using TimeUs = std::int64_t;    // microseconds on the event clock
 using QueryId = std::uint32_t;  // unique for the life of an instance
 using EngineId = std::string;   // opaque; the same at every gateway
 
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -30,6 +30,7 @@
 constexpr double kRunaway = 4.0;            // x what its class takes now, at the pace notes tell: a bad plan
 constexpr TimeUs kNotesMissed = 3;          // x the progress interval without a sign of life: silent
 constexpr TimeUs kTrial = 1'500 * kMs;      // a suspect engine gets one trial query this often
+constexpr double kTrialSpread = 2.0 / 3;    // of that time: over so much of it gateways' trials are spread
 constexpr double kEngineWeight = 0.2, kErrorShare = 0.3;   // of one answer; failed ones: suspect
 constexpr double kLearnWeight = 0.05, kMeanWeight = 0.01;  // of one answer in costs; of one query in means
 constexpr double kSlowMost = 10.0;    // one answer counts as at most this slow: loads stall readers
@@ -63,6 +64,7 @@
 struct Attempt {
   EngineEntry to;
   TimeUs sent_at = 0;
+  TimeUs stalls = 0;    // of this gateway itself, all of them by then
   double charge = 0;    // us of CPU taken from the budget
   double grant_mb = 0;  // 0: left to the engine
   bool spilled = false;
@@ -105,7 +107,7 @@
   double slowdown = 1, answers = 0;  // x the ideal time; how many answers tell of it, fading
   double room = 1;                   // part of its share of memory that this gateway still finds free
   double errors = 0;
-  TimeUs last_sign = 0;  // of life: an answer or a note
+  TimeUs last_sign = 0;  // of life, an answer or a note, on the clock without this gateway's own stalls
   TimeUs last_full = -kWindow;
   std::map<int, TimeUs> closed;  // class: until when it is spared this engine, which turned it away
   bool suspect = false;
@@ -197,6 +199,7 @@
     Held& h = it->second;
     Attempt& a = h.attempts[static_cast<size_t>(o.attempt)];
     if (!a.open) return;
+    note_own_stall(now);
     a.open = false;
     a.outcome = o.kind;
     settle(h, a, o);
@@ -215,8 +218,9 @@
     Held& h = it->second;
     Attempt& a = h.attempts[static_cast<size_t>(n.attempt)];
     if (!a.open) return;
+    note_own_stall(now);
     Engine& e = engines_.at(a.to.id);
-    e.last_sign = now;
+    e.last_sign = now - stalls_;
     if (e.suspect && e.errors < kErrorShare) clear_suspicion(e);
     if (n.kind == NoteKind::kSpill && !a.spilled) {
       a.spilled = true;  // where memory is told, or what is short is shared out, the answer teaches instead
@@ -246,6 +250,7 @@
   void on_peer(TimeUs, int, const std::string&, ActionSink&) override {}  // no peers to hear
 
   void on_timer(TimeUs now, std::uint64_t token, ActionSink& sink) override {
+    note_own_stall(now);
     if (token == kTokenReset) {
       ++window_;
       reset_at_ = now;
@@ -253,7 +258,7 @@
       sink.set_timer(kWindow, kTokenReset);
     }
     if (token == kTokenTick) {
-      sink.set_timer(kTick, kTokenTick);
+      set_tick(now, sink);
       update_share(now);
       for (auto& [id, e] : engines_) {
         if (now - e.last_full > kFullMemory) e.room = std::min(1.0, e.room + kCrowdBack);
@@ -269,12 +274,25 @@
   }
 
  private:
+  void set_tick(TimeUs now, ActionSink& sink) {
+    tick_due_ = now + kTick;
+    sink.set_timer(kTick, kTokenTick);
+  }
+
+  // Guards against a gateway that was starved of CPU and then shut all its engines at once, for answers that
+  // lay ready unread: while its tick is overdue it heard nobody, and no engine is late by that.
+  void note_own_stall(TimeUs now) {
+    if (now - tick_due_ <= kTick) return;
+    stalls_ += now - tick_due_;
+    tick_due_ = now;
+  }
+
   void start(TimeUs now, ActionSink& sink) {
-    if (started_) return;
+    if (started_) return note_own_stall(now);
     started_ = true;
     started_at_ = now;
     reset_at_ = now - kWindow + kWindow * (s_.self + 1) / s_.gateways;
-    sink.set_timer(kTick, kTokenTick);
+    set_tick(now, sink);
     sink.set_timer(kWindow * (s_.self + 1) / s_.gateways, kTokenReset);  // not all at once
     if (s_.must_ask_discovery) sink.subscribe();
   }
@@ -314,9 +332,9 @@
   void settle(const Held& h, Attempt& a, const Outcome& o) {
     Engine& e = engines_.at(a.to.id);  // kept while anything is out there
     const ClassSettings& c = cls(h);
-    const double spent = o.told_cost && o.kind == OutcomeKind::kOk
-                             ? static_cast<double>(*o.told_cost)
-                             : static_cast<double>(o.latency * c.threads);
+    const TimeUs latency = std::max<TimeUs>(o.latency - (stalls_ - a.stalls), 0);
+    const double spent = o.told_cost && o.kind == OutcomeKind::kOk ? static_cast<double>(*o.told_cost)
+                                                                   : static_cast<double>(latency * c.threads);
     pool_.threads -= c.threads;
     pool_.granted_mb -= a.grant_mb;
     e.threads -= c.threads;
@@ -331,7 +349,7 @@
     const double estimate = static_cast<double>(h.q.cost_estimate);
     double slow = 0, told = spent;
     if (o.told_cost) {
-      slow = static_cast<double>(o.latency * c.threads) / std::max(spent, 1.0);
+      slow = static_cast<double>(latency * c.threads) / std::max(spent, 1.0);
     } else if (estimate > 0) {
       const double ratio = spent / estimate;
       if (l.base <= 0) l.base = ratio;
@@ -599,6 +617,7 @@
     Attempt a;
     a.to = e.entry;
     a.sent_at = now;
+    a.stalls = stalls_;
     a.charge = h.cost;
     a.grant_mb = grant_for(h, e);
     const int priority = s_.priorities ? priority_for(h) : 1;
@@ -614,9 +633,9 @@
       while (!e.sent.empty() && e.sent.front().first < now - 2 * s_.rules.fall_window) e.sent.pop_front();
       e.sent.emplace_back(now, h.cost);
     }
-    if (e.out.empty()) e.last_sign = std::max(e.last_sign, now);
+    if (e.out.empty()) e.last_sign = std::max(e.last_sign, now - stalls_);
     e.out.insert({h.q.id, static_cast<int>(h.attempts.size())});
-    if (e.suspect) e.next_trial = now + kTrial;
+    if (e.suspect) suspect(e, now);
     h.attempts.push_back(std::move(a));
     sink.send(h.q.id, e.entry.id, h.q.limits ? h.q.limits->stop_at(now, h.deadline) : h.deadline);
   }
@@ -688,27 +707,45 @@
   }
 
   // --- Engine health --------------------------------------------------------------------------------------
-  // A suspect engine gets one trial query at a time, of a class that is safe to repeat.
+  // A suspect engine gets one trial query at a time: a fresh one of a class that is safe to repeat, or any
+  // that has no other engine left.
   bool healthy(const Engine& e, const Held& h, TimeUs now) const {
     if (const auto at = e.closed.find(h.q.class_index); at != e.closed.end() && now < at->second)
       return false;
-    return !e.suspect || (cls(h).effect == Effect::kIdempotent && h.attempts.empty() && now >= e.next_trial);
+    if (!e.suspect) return true;
+    if (now < e.next_trial) return false;
+    return (cls(h).effect == Effect::kIdempotent && h.attempts.empty()) || none_unsuspected(h, now);
+  }
+
+  // Guards against queries that had their first try, or may not be repeated, waiting until they are refused
+  // for engines that nobody tries: without fresh safe queries all suspects stayed shut.
+  bool none_unsuspected(const Held& h, TimeUs now) const {
+    return std::none_of(engines_.begin(), engines_.end(), [&](const auto& p) {
+      const Engine& e = p.second;
+      return e.listed && !e.suspect && placement_allows(cls(h), e) && effect_allows(h, cls(h), e, now);
+    });
   }
 
   static void clear_suspicion(Engine& e) { e.suspect = false, e.errors = 0; }
-  static void suspect(Engine& e, TimeUs now) { e.suspect = true, e.next_trial = now + kTrial; }
+
+  // Guards against a fleet that lost sight of an engine at one moment and tries it again at one moment: each
+  // gateway's trials keep to a place of their own.
+  void suspect(Engine& e, TimeUs now) {
+    const double place = 1 + kTrialSpread * turn_at(e, window_);
+    e.suspect = true, e.next_trial = now + static_cast<TimeUs>(place * static_cast<double>(kTrial));
+  }
 
   void judge(TimeUs now, const Attempt& a, const Outcome& o) {
     Engine& e = engines_.at(a.to.id);
     if (o.kind == OutcomeKind::kOk) {
-      e.last_sign = now;
+      e.last_sign = now - stalls_;
       e.errors *= 1 - kEngineWeight;
       if (e.suspect && e.errors < kErrorShare) clear_suspicion(e);
     } else if (o.kind == OutcomeKind::kFull) {
       e.last_full = now;
       e.closed[queries_.at(o.query).q.class_index] = now + kFullMemory;
     } else if (o.kind == OutcomeKind::kError) {
-      e.last_sign = now;
+      e.last_sign = now - stalls_;
       e.errors += kEngineWeight * (1 - e.errors);
       if (e.errors > kErrorShare) suspect(e, now);
     } else if (o.kind == OutcomeKind::kConnectFailed || o.kind == OutcomeKind::kReset) {
@@ -728,19 +765,20 @@
         if (!h.ended && !h.waiting && h.q.limits && h.q.limits->copy_due(now, a.sent_at, sent)) hold(h);
         if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
         const bool notes = s_.progress_interval > 0;
-        const bool quiet = now - std::max(a.sent_at, e.last_sign) > kNotesMissed * s_.progress_interval;
+        const TimeUs awake = now - stalls_, begun = a.sent_at - a.stalls;
+        const bool quiet = awake - std::max(begun, e.last_sign) > kNotesMissed * s_.progress_interval;
         const double part = notes ? kSilenceFloor : kSilencePart * static_cast<double>(cls(h).aim);
         const double wait = std::max(kOverdue * learned(h).slow * ideal(h), std::min(kSilenceFloor, part));
-        const bool late = static_cast<double>(now - a.sent_at) > wait;
+        const bool late = static_cast<double>(awake - begun) > wait;
         const bool news = late && !a.late && !cls(h).load && !stalled_for(h, e, now);
         // Guards against waiting behind a load that nobody tells of, at an engine that answers others.
-        const bool held = news && !notes && cls(h).waits_for_loads && e.last_sign > a.sent_at;
+        const bool held = news && !notes && cls(h).waits_for_loads && e.last_sign > begun;
         if (held) e.stalled[h.q.table_group] = now + load_length();
         if (news) learn_slowdown(e, held ? kOverdue : kSlowMost);
         a.late = a.late || late;
         if (notes ? !quiet : !late) continue;
         rescue(now, h, n, sink);
-        if (notes ? quiet : e.last_sign <= a.sent_at) suspect(e, now);
+        if (notes ? quiet : e.last_sign <= begun) suspect(e, now);
       }
     }
   }
@@ -757,7 +795,8 @@
   // Guards against a bad plan (drawn anew for each attempt): the pace that notes tell would take several
   // times what the class takes now. Once a query, where it is safe to repeat and a new attempt is in time.
   bool runaway(const Held& h, const Attempt& a, double done, TimeUs now) {
-    const double took = static_cast<double>(now - a.sent_at), expected = learned(h).slow * ideal(h);
+    const double took = static_cast<double>(now - a.sent_at - (stalls_ - a.stalls));
+    const double expected = learned(h).slow * ideal(h);
     return s_.limits.cancel && cls(h).effect == Effect::kIdempotent && !h.redrawn && !a.given_up &&
            took / std::max(done, 0.01) > kRunaway * expected && now < give_up_at(h);
   }
@@ -773,6 +812,7 @@
   Settings s_;
   bool started_ = false;
   TimeUs started_at_ = 0, reset_at_ = 0, ask_again_ = 0;
+  TimeUs tick_due_ = 0, stalls_ = 0;  // the next tick; how late ticks were in all: this gateway's own stalls
   double share_, quota_ = 0;
   std::uint64_t seq_ = 0, window_ = 0, epoch_ = 1;
   Pool pool_;
--- /dev/null
+++ b/src/net/attention.h
@@ -0,0 +1,31 @@
+// When this process did not attend to its sockets: starved of CPU, stopped, or busy in one turn for long. No
+// I/O, no clock.
+#pragma once
+
+#include <algorithm>
+
+#include "decision/decision.h"
+
+namespace orchidgw::net {
+
+class Attention {
+ public:
+  // A turn begins at `now`. What passed since the loop was to be back, but for `kSlack`, is lost.
+  void turn_begins(TimeUs now) {
+    if (back_by_ > 0) lost_ += std::max<TimeUs>(now - back_by_ - kSlack, 0);
+    back_by_ = now;
+  }
+
+  // The turn is over; the loop waits at most so long (us).
+  void loop_waits(TimeUs wait) { back_by_ += wait; }
+
+  // In us, all in all. A limit of time that is counted without it lays nothing of that on the other side.
+  TimeUs lost() const { return lost_; }
+
+ private:
+  static constexpr TimeUs kSlack = 20'000;  // what turns take and timers are late by without a stall
+  TimeUs back_by_ = 0;                      // 0: no turn yet
+  TimeUs lost_ = 0;
+};
+
+}  // namespace orchidgw::net
--- a/src/net/context.h
+++ b/src/net/context.h
@@ -22,6 +22,8 @@
   std::function<bool()> crowded;          // no memory for anything new: stop reading and accepting
   // Objects that closed themselves inside a callback of theirs; emptied between turns.
   std::vector<std::shared_ptr<void>> closed;
+  // How long this process did not attend to its sockets so far (`Attention`).
+  TimeUs lost = 0;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -102,6 +102,8 @@
 TimeUs Controller::turn() {
   const TimeUs now = unix_now();
   ++counters_.turns;
+  attention_.turn_begins(now);
+  context_.lost = attention_.lost();
   try {
     context_.closed.clear();
     change_log_.check(now);
@@ -117,7 +119,9 @@
   log_.stream().flush();  // what nobody read so far
   const TimeUs end = unix_now();
   counters_.turn.add(end - now);
-  return wait_from(end);
+  const TimeUs wait = wait_from(end);
+  attention_.loop_waits(wait);
+  return wait;
 }
 
 // Timers fire once a turn: one that is set for at once must not hold up the requests.
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -11,6 +11,7 @@
 #include "log/log.h"
 #include "metrics/counters.h"
 #include "net/admin_socket.h"
+#include "net/attention.h"
 #include "net/buffer_pool.h"
 #include "net/change_log.h"
 #include "net/context.h"
@@ -66,6 +67,7 @@
   std::size_t statement_bytes_most_;
   Reactor reactor_;
   Context context_;
+  Attention attention_;
   core::Reducer reducer_;
   EventQueue events_;
   EngineClient engines_;
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -26,7 +26,8 @@
       channel_(context.reactor, fd, *this),
       call_(std::move(call)),
       begun_at_(unix_now()),
-      up_by_(up_by),
+      up_by_(up_by - context.lost),
+      answer_by_(call_->answer_by - context.lost),
       parser_(http::kPageBytesMost),
       out_(context.pool),
       body_(context.pool) {
@@ -40,6 +41,7 @@
 
 void EngineConnection::give(core::StartCall call) {
   call_ = std::move(call);
+  answer_by_ = call_->answer_by - context_.lost;
   write_request();
 }
 
@@ -89,7 +91,7 @@
   context_.counters.engine_bytes_in += moved.bytes;
   // Bytes with no call on it, or before the call is whole, answer nothing of ours.
   if (state_ == State::kIdle || !out_.empty()) return close(ConnectionEnd::kUnreadable);
-  read_at_ = unix_now();
+  read_at_ = unix_now() - context_.lost;
   if (!read_bytes({room.data(), moved.bytes})) return close(ConnectionEnd::kUnreadable);
   if (state_ == State::kBusy) owner_.begun(*this);
 }
@@ -134,11 +136,11 @@
 }
 
 TimeUs EngineConnection::due() const {
-  if (state_ == State::kConnecting) return std::min(up_by_, call_->answer_by);
-  if (state_ == State::kBusy && !parser_.begun()) return call_->answer_by;
+  if (state_ == State::kConnecting) return std::min(up_by_, answer_by_) + context_.lost;
+  if (state_ == State::kBusy && !parser_.begun()) return answer_by_ + context_.lost;
   // Guards against answers that stop short on a connection that stays open: waiting the call's whole time for
   // the rest costs a short query its aim.
-  if (state_ == State::kBusy) return std::min(call_->answer_by, read_at_ + kStalledFor);
+  if (state_ == State::kBusy) return std::min(answer_by_, read_at_ + kStalledFor) + context_.lost;
   return std::numeric_limits<TimeUs>::max();
 }
 
--- a/src/net/engine_connection.h
+++ b/src/net/engine_connection.h
@@ -67,7 +67,10 @@
   State state_ = State::kConnecting;
   std::optional<core::StartCall> call_;
   TimeUs begun_at_;
+  // On the clock without the time that this process lost: guards against laying its own stall on the engine,
+  // whose answer lies unread.
   TimeUs up_by_;
+  TimeUs answer_by_;
   TimeUs read_at_ = 0;  // the last bytes of an answer
   http::ResponseParser parser_;
   BufferChain out_;
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -185,6 +185,19 @@
   EXPECT_TRUE(engines[0]->wait_for("DELETE", "/v2/q/" + client.reference_of(1)));
 }
 
+// 200 of 200 held queries waited out their 30 s for an engine that had been late for a moment.
+TEST_F(Running, TheOnlyEngineIsTriedAgainByThoseThatLostTheirTry) {
+  const auto heard = std::make_shared<std::atomic<int>>(0);
+  engine([heard](const HttpCall& call) {
+    if (call.method == "DELETE") return ++*heard, reply(204);
+    return *heard < 3 ? way(HttpReply::Way::kSilent) : served("x\ty\tz\n");
+  });
+  start();
+  FrontClient client(controller->address());
+  for (int tag = 1; tag <= 3; ++tag) client.invoke(tag);
+  for (int tag = 1; tag <= 3; ++tag) EXPECT_EQ(client.receive().kind, Kind::kServed);
+}
+
 TEST_F(Running, ASilentEngineIsToldToStopBeforeTheQueryGoesElsewhere) {
   // Whichever engine is called first stays silent.
   const auto first = std::make_shared<std::atomic<int>>(-1);
--- a/tests/integration/engine_client_test.cpp
+++ b/tests/integration/engine_client_test.cpp
@@ -125,6 +125,18 @@
   EXPECT_EQ(std::get<core::CallEnded>(events.at(0)).end, core::ConnectionEnd::kSilent);
 }
 
+// Guards against a process that was stopped and then took every engine for silent, answers unread.
+TEST_F(FewDescriptors, TimeThatThisProcessLostIsNotTheEngines) {
+  start(1, core::CallKind::kNews);
+  run_until([this] { return engine.count("GET") == 1; });
+  context.lost += 120'000'000;
+  client.check(net::unix_now() + 100'000'000);
+  EXPECT_TRUE(events.empty());
+  client.check(net::unix_now() + 200'000'000);
+  ASSERT_EQ(events.size(), 1U);
+  EXPECT_EQ(std::get<core::CallEnded>(events[0]).end, core::ConnectionEnd::kSilent);
+}
+
 TEST_F(FewDescriptors, ADroppedCallThatWaitsWasNeverWritten) {
   for (core::CallId id = 1; id <= 8; ++id) start(id, core::CallKind::kStart);
   client.drop(8);
--- a/tests/reducer/reducer_test.cpp
+++ b/tests/reducer/reducer_test.cpp
@@ -48,6 +48,29 @@
   EXPECT_EQ(answers[1], std::vector<std::string>{"served 0\n1\n2\n"});
 }
 
+// Guards against pages that nobody will read filling the pool while their query waits.
+TEST_F(ReducerTest, PagesOfAnAttemptThatIsGivenUpAreGivenBackAtOnce) {
+  struct Counted final : Payload {
+    explicit Counted(int& n) : alive(n) { ++alive; }
+    ~Counted() override { --alive; }
+    std::size_t size() const override { return 6; }
+    int& alive;
+  };
+  int alive = 0;
+  begin(1);
+  request(1);
+  CallAnswer a;
+  a.kind = Kind::kServed;
+  a.pages = 2;
+  a.rows = std::make_unique<Counted>(alive);
+  apply(CallAnswered{last().call, std::move(a)});
+  EXPECT_EQ(alive, 1);
+  run_until(now + 1 * kSecond);  // the page stays away: the module gives the attempt up and holds the query
+  EXPECT_EQ(alive, 0);
+  EXPECT_TRUE(answers.empty());
+  EXPECT_EQ(reducer->queries(), 1U);
+}
+
 // Guards against a second copy of a page that is read as the next one.
 TEST_F(ReducerTest, APageOfAnotherNumberIsAskedForAgainOnAnotherConnection) {
   begin();
--- /dev/null
+++ b/tests/unit/attention_test.cpp
@@ -0,0 +1,29 @@
+// How long a process did not attend to its sockets, on a clock moved by hand.
+#include "net/attention.h"
+
+#include <gtest/gtest.h>
+
+namespace orchidgw::net {
+namespace {
+
+constexpr TimeUs kMs = 1000;
+
+TEST(Attention, LosesOnlyWhatPassedSinceTheLoopWasToBeBack) {
+  Attention attention;
+  attention.turn_begins(1'000'000 * kMs);  // the first turn: nothing was lost before it
+  attention.loop_waits(1'000 * kMs);
+  attention.turn_begins(1'000'400 * kMs);  // woken early by a socket
+  EXPECT_EQ(attention.lost(), 0);
+  attention.loop_waits(100 * kMs);
+  attention.turn_begins(1'000'510 * kMs);  // within what timers are late by
+  EXPECT_EQ(attention.lost(), 0);
+  attention.loop_waits(0);
+  attention.turn_begins(1'002'510 * kMs);  // two seconds in one turn
+  EXPECT_EQ(attention.lost(), 1'980 * kMs);
+  attention.loop_waits(100 * kMs);
+  attention.turn_begins(1'002'600 * kMs);
+  EXPECT_EQ(attention.lost(), 1'980 * kMs);
+}
+
+}  // namespace
+}  // namespace orchidgw::net
--- a/tests/unit/module_test.cpp
+++ b/tests/unit/module_test.cpp
@@ -544,6 +544,100 @@
   EXPECT_GT(after_recovery, 300u);
 }
 
+// --- A gateway's own stalls, and engines that nobody else tries ---
+
+// 200 queries waited 30 s for the one engine that had been late for a moment: all of them had had their try.
+TEST_F(Module, AQueryThatLostItsTryTriesTheOnlyEngineAgain) {
+  s.classes[0].aim = 30 * kSecond;
+  s.classes[0].deadline = 60 * kSecond;
+  begin(1);
+  Query q = query(1);
+  q.time_budget = 60 * kSecond;
+  take(q);
+  run_until(900 * kMs);
+  ASSERT_EQ(sink.cancelled.size(), 1u);
+  answer(0, OutcomeKind::kCancelled);
+  EXPECT_EQ(sends_of(1), 1u);  // not at once
+  run_until(4 * kSecond);
+  EXPECT_EQ(sends_of(1), 2u);
+}
+
+TEST_F(Module, AQueryThatMayNotBeRepeatedTriesTheOnlyEngineOnceItIsKnownNotToHaveRun) {
+  for (const bool ran : {true, false}) {
+    SCOPED_TRACE(ran);
+    sink = FakeSink();
+    list.clear();
+    s.classes[0].effect = Effect::kAtMostOnce;
+    s.classes[0].aim = 30 * kSecond;
+    s.classes[0].deadline = 60 * kSecond;
+    begin(1);
+    Query q = query(1);
+    q.time_budget = 60 * kSecond;
+    take(q);
+    answer(0, ran ? OutcomeKind::kReset : OutcomeKind::kConnectFailed);
+    run_until(4 * kSecond);
+    EXPECT_EQ(sends_of(1), ran ? 1u : 2u);
+    EXPECT_EQ(sink.failed.count(1), ran ? 1u : 0u);
+    if (!ran) continue;
+    take(query(2));  // a fresh one has no other engine either
+    EXPECT_EQ(sends_of(2), 1u);
+  }
+}
+
+TEST_F(Module, WhereAnotherEngineIsOpenAQueryThatLostItsTryTriesNoSuspect) {
+  s.limits.max_attempts = 9;
+  s.classes[0].aim = 30 * kSecond;
+  s.classes[0].deadline = 60 * kSecond;
+  begin(2);
+  Query q = query(1);
+  q.time_budget = 60 * kSecond;
+  take(q);
+  const EngineId bad = sink.sent.at(0).engine;
+  answer(0, OutcomeKind::kConnectFailed);
+  for (size_t nth = 1; nth < 6; ++nth) {
+    ASSERT_EQ(sink.sent.size(), nth + 1);
+    EXPECT_NE(sink.sent.at(nth).engine, bad);
+    answer(nth, OutcomeKind::kFull);
+    run_until(sink.now + 1'100 * kMs);  // a class that was turned away comes back after a second
+  }
+}
+
+// The gateway read nothing for 5 s while answers lay ready: no engine is late by that.
+TEST_F(Module, AGatewaysOwnStallIsNotLaidOnItsEngines) {
+  begin(1);
+  take(query(1));
+  run_until(100 * kMs);
+  sink.now += 3 * kSecond;
+  run_until(sink.now);
+  EXPECT_TRUE(sink.cancelled.empty());
+  take(query(2));
+  EXPECT_EQ(sends_of(2), 1u);
+  run_until(sink.now + 400 * kMs);
+  EXPECT_TRUE(sink.cancelled.empty());
+  run_until(sink.now + 400 * kMs);  // awake for 900 ms by now: that is the engine's own
+  EXPECT_EQ(sink.cancelled.size(), 2u);
+}
+
+// 300 gateways that lost the same engine at one moment must not all try it again at one moment.
+TEST_F(Module, TrialsOfAFleetAreSpread) {
+  s.gateways = 300;
+  std::map<TimeUs, int> trials;  // by 100 ms
+  for (s.self = 0; s.self < s.gateways; ++s.self) {
+    sink = FakeSink();
+    list.clear();
+    begin(1);
+    take(query(1));
+    answer(0, OutcomeKind::kConnectFailed);
+    for (QueryId id = 2; sink.sent.size() < 2 && sink.now < 4 * kSecond; ++id) {
+      run_until(sink.now + 20 * kMs);
+      take(query(id));
+    }
+    ASSERT_EQ(sink.sent.size(), 2u);
+    ++trials[sink.sent.at(1).at / (100 * kMs)];
+  }
+  for (const auto& [at, count] : trials) EXPECT_LE(count, 45) << at;
+}
+
 // --- Hundreds of gateways ---
 
 // A slice below one charge let one query of every gateway through: all of them met at the group's home.
