budget: leased parts of a whole, divided by demand, never summing to more than it

Growth comes from free parts alone; a part is free again once its holder has acknowledged less and uses no more, or its term and the drift are over; the holder counts from its ask, the keeper from when the grant is in force; a new leader counts all leases anew.

--- /dev/null
+++ b/src/budget/arbiter.cpp
@@ -0,0 +1,70 @@
+#include "budget/arbiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidgw::budget {
+namespace {
+
+constexpr std::size_t kWaitingMost = 8192;  // asks of members and of strangers
+constexpr std::size_t kEntryMost = 512;     // asks agreed on in one step: bounds an entry's size
+
+}  // namespace
+
+void Arbiter::lead(TimeUs now, const Ledger& ledger) {
+  leads_ = true;
+  on_its_way_ = false;
+  running_.clear();
+  for (const auto& [key, member] : ledger.members())
+    running_[key] = {member.number, now + Terms::surely_over_after(member.term, ledger.terms().drift_ppm)};
+}
+
+void Arbiter::follow() {
+  leads_ = on_its_way_ = false;
+  asks_.clear();
+  running_.clear();
+}
+
+bool Arbiter::asked(Ask ask) {
+  const auto it = asks_.find(ask.from);
+  if (it == asks_.end() && asks_.size() >= kWaitingMost) return false;
+  if (it == asks_.end() || it->second.seq < ask.seq) asks_[ask.from] = std::move(ask);
+  return true;
+}
+
+std::optional<Entry> Arbiter::next(TimeUs now, const Ledger& ledger) {
+  if (!leads_ || on_its_way_) return std::nullopt;
+  Entry out;
+  if (wanted_ && wanted_->revision > ledger.terms().revision) out.terms.push_back(*wanted_);
+  for (const auto& [key, running] : running_)
+    if (running.over_at <= now) out.expired.push_back({key, running.number});
+  if (ledger.terms().revision > 0 || !out.terms.empty()) {
+    while (!asks_.empty() && out.asks.size() < kEntryMost) {
+      out.asks.push_back(std::move(asks_.begin()->second));
+      asks_.erase(asks_.begin());
+    }
+  }
+  if (out.empty()) return std::nullopt;
+  on_its_way_ = true;
+  return out;
+}
+
+void Arbiter::applied(TimeUs now, const Ledger& ledger, const std::vector<Grant>& grants) {
+  if (!leads_) return;
+  for (const Grant& grant : grants) {
+    if (grant.kind != Grant::Kind::kLease) continue;
+    const TimeUs over_at = now + Terms::surely_over_after(grant.term, ledger.terms().drift_ppm);
+    Running& running = running_[grant.to];
+    // Guards against a shorter term that would end an earlier, longer lease.
+    running = {grant.number, std::max(running.over_at, over_at)};
+  }
+  std::erase_if(running_, [&](const auto& one) { return !ledger.members().contains(one.first); });
+}
+
+std::optional<TimeUs> Arbiter::next_due() const {
+  std::optional<TimeUs> due;
+  for (const auto& [key, running] : running_) due = std::min(due.value_or(running.over_at), running.over_at);
+  return due;
+}
+
+}  // namespace orchidgw::budget
--- /dev/null
+++ b/src/budget/ledger.cpp
@@ -0,0 +1,192 @@
+#include "budget/ledger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "budget/divide.h"
+
+namespace orchidgw::budget {
+namespace {
+
+constexpr Parts kHysteresis = 16;  // a lease shrinks by demand alone only if by more than one part in so many
+
+std::vector<Parts> sized(std::vector<Parts> parts, std::size_t n) {
+  parts.resize(n, 0);
+  for (Parts& p : parts) p = std::max<Parts>(p, 0);
+  return parts;
+}
+
+}  // namespace
+
+std::vector<Grant> Ledger::apply(const Entry& entry) {
+  for (const Terms& terms : entry.terms) take(terms);
+  for (const Expiry& expiry : entry.expired) expire(expiry);
+  std::vector<Grant> out;
+  std::vector<const Ask*> good;
+  for (const Ask& ask : entry.asks) {
+    Grant refusal;
+    if (note(ask, refusal)) {
+      good.push_back(&ask);
+    } else if (refusal.kind != Grant::Kind::kLease) {
+      out.push_back(std::move(refusal));
+    }
+  }
+  if (good.empty()) return out;
+  divide_anew();
+  std::vector<Parts> left(terms_.allowances.size());
+  for (std::size_t a = 0; a < left.size(); ++a) left[a] = free(a);
+  for (const Ask* ask : good) {
+    const auto it = members_.find(ask->from);  // it may have left, or been superseded, in this very entry
+    if (it != members_.end() && !it->second.superseded) out.push_back(grant(*ask, left));
+  }
+  targets_.clear();  // no state: every entry makes them anew
+  places_.clear();
+  return out;
+}
+
+// Allowances keep what is out of them by name. What is smaller now is followed down to as leases are renewed.
+void Ledger::take(const Terms& terms) {
+  if (terms.revision <= terms_.revision) return;
+  const auto moved = [&](const std::vector<Parts>& from) {
+    std::vector<Parts> to(terms.allowances.size(), 0);
+    for (std::size_t n = 0; n < to.size(); ++n)
+      for (std::size_t o = 0; o < from.size(); ++o)
+        if (terms_.allowances[o].name == terms.allowances[n].name) to[n] = from[o];
+    return to;
+  };
+  for (auto& [key, member] : members_) {
+    member.demand = moved(member.demand);
+    member.granted = moved(member.granted);
+    member.held = moved(member.held);
+    member.unacked = moved(member.unacked);
+  }
+  terms_ = terms;
+}
+
+void Ledger::expire(const Expiry& expiry) {
+  const auto it = members_.find(expiry.member);
+  // Guards against an expiry that was decided before a renewal which then came first.
+  if (it != members_.end() && it->second.number == expiry.number) members_.erase(it);
+}
+
+bool Ledger::has_room_for(const MemberKey& key) const {
+  std::set<std::string_view> names;
+  for (const auto& [member, state] : members_) names.insert(member.name);
+  return names.contains(key.name) || static_cast<int>(names.size()) < terms_.largest;
+}
+
+// Takes over what the member tells. False if no lease follows; then `refusal` says why, unless the ask is
+// stale.
+bool Ledger::note(const Ask& ask, Grant& refusal) {
+  refusal.to = ask.from;
+  refusal.seq = ask.seq;
+  const auto refuse = [&](Grant::Kind kind) {
+    refusal.kind = kind;
+    return false;
+  };
+  auto it = members_.find(ask.from);
+  // Guards against messages that come twice, late or out of turn.
+  if (it != members_.end() && ask.seq <= it->second.seq) return false;
+  if (ask.leaving) {
+    if (it != members_.end()) members_.erase(it);
+    return refuse(Grant::Kind::kLeft);
+  }
+  if (it != members_.end() && it->second.superseded) return refuse(Grant::Kind::kSuperseded);
+  if (it == members_.end()) {
+    // Guards against a late word of an earlier start, which must not put out the one that runs. Where a clock
+    // was set back it is the later start that waits, until the earlier one's lease is over.
+    for (const auto& [key, member] : members_)
+      if (key.name == ask.from.name && key.incarnation > ask.from.incarnation)
+        return refuse(Grant::Kind::kNoRoom);
+    if (!has_room_for(ask.from)) return refuse(Grant::Kind::kNoRoom);
+    for (auto& [key, member] : members_)
+      if (key.name == ask.from.name) member.superseded = true;
+    it = members_.try_emplace(ask.from).first;
+    const std::size_t n = terms_.allowances.size();
+    it->second.demand = it->second.granted = it->second.held = it->second.unacked = std::vector<Parts>(n, 0);
+  }
+  Member& m = it->second;
+  m.seq = ask.seq;
+  // It had leases before that are over here; guards against numbers that it knows already, which it ignores.
+  m.number = std::max(m.number, ask.acked);
+  // One that counts by other terms tells nothing of these; it learns them by the answer.
+  if (ask.revision != terms_.revision) return true;
+  m.demand = sized(ask.demand, m.demand.size());
+  if (ask.acked != m.number) return true;  // a later lease may be on its way to it
+  m.acked = ask.acked;
+  const std::vector<Parts> held = sized(ask.held, m.held.size());
+  for (std::size_t a = 0; a < held.size(); ++a) {
+    // Nobody comes to more by saying so, nor to less than the lease that it has taken over.
+    m.held[a] = std::max(std::min(held[a], m.outstanding(a)), m.granted[a]);
+    m.unacked[a] = m.granted[a];
+  }
+  return true;
+}
+
+void Ledger::divide_anew() {
+  targets_.assign(terms_.allowances.size(), {});
+  for (const auto& [key, member] : members_)
+    if (!member.superseded) places_.emplace(key, static_cast<int>(places_.size()));
+  for (std::size_t a = 0; a < targets_.size(); ++a) {
+    std::vector<Claim> claims;
+    std::vector<const MemberKey*> keys;
+    for (const auto& [key, member] : members_) {
+      if (member.superseded) continue;
+      claims.push_back({member.demand[a], terms_.allowances[a].least, 1});
+      keys.push_back(&key);
+    }
+    const std::vector<Parts> parts = divide(terms_.shared(a) - terms_.allowances[a].reserve, claims);
+    for (std::size_t i = 0; i < parts.size(); ++i) targets_[a][*keys[i]] = parts[i];
+  }
+}
+
+Parts Ledger::outstanding(std::size_t a) const {
+  Parts sum = 0;
+  for (const auto& [key, member] : members_) sum += member.outstanding(a);
+  return sum;
+}
+
+void Ledger::restore(Terms terms, std::map<MemberKey, Member> members) {
+  terms_ = std::move(terms);
+  members_ = std::move(members);
+}
+
+// Grows by free parts alone, of which the reserve is for who has less than the least. Shrinks to the target,
+// but for steps so small that moving them is not worth it, while nothing is missing.
+Parts Ledger::next_part(std::size_t a, const Member& member, Parts target, Parts free) const {
+  const Allowance& terms = terms_.allowances[a];
+  const Parts granted = member.granted[a];
+  const Parts out = member.outstanding(a);
+  if (target < granted) {
+    const bool small = granted - target <= granted / kHysteresis;
+    return small && free >= terms.reserve ? granted : target;
+  }
+  const Parts usable = out < terms.least ? free : free - terms.reserve;
+  return std::max(granted, std::min(target, out + std::max<Parts>(usable, 0)));
+}
+
+Grant Ledger::grant(const Ask& ask, std::vector<Parts>& free) {
+  Member& m = members_.at(ask.from);
+  Grant out;
+  out.to = ask.from;
+  out.seq = ask.seq;
+  out.number = ++m.number;
+  out.revision = terms_.revision;
+  out.term = terms_.term;
+  m.term = std::max(m.term, terms_.term);
+  out.live = static_cast<int>(places_.size());
+  out.place = places_.at(ask.from);
+  for (std::size_t a = 0; a < free.size(); ++a) {
+    const Parts before = m.outstanding(a);
+    Parts part = next_part(a, m, targets_[a].at(ask.from), free[a]);
+    if (ask.revision != terms_.revision) part = std::min(part, m.granted[a]);
+    m.granted[a] = part;
+    m.unacked[a] = std::max(m.unacked[a], part);
+    free[a] -= m.outstanding(a) - before;
+    out.parts.push_back(part);
+  }
+  return out;
+}
+
+}  // namespace orchidgw::budget
--- /dev/null
+++ b/tests/budget/sum_test.cpp
@@ -0,0 +1,245 @@
+// The sum over all controllers never passes the whole, and comes back to it: schedules of faults by seed, and
+// every schedule of a small fleet up to a stated length. tests/budget/mutants.sh has them run against each
+// rule left out.
+#include <gtest/gtest.h>
+
+#include "fleet_world.h"
+
+namespace orchidgw::budget {
+namespace {
+
+constexpr TimeUs kMs = 1000;
+
+std::size_t draw(std::mt19937_64& random, std::size_t most) {
+  return std::uniform_int_distribution<std::size_t>(0, most - 1)(random);
+}
+
+// Any two clocks run apart by the drift of `small_terms` at the most.
+double clock_rate(std::mt19937_64& random) { return 1 + static_cast<double>(draw(random, 11)) * 0.001; }
+
+void step(FleetWorld& world, std::mt19937_64& random) {
+  const std::size_t i = draw(random, world.members());
+  switch (draw(random, 16)) {
+    case 0:
+    case 1:
+      return world.pass(static_cast<TimeUs>(draw(random, 400)) * kMs);
+    case 2:
+      return world.pass(draw(random, 4) == 0 ? 3'000 * kMs : 50 * kMs);
+    case 3:
+      return draw(random, 4) == 0 ? world.kill(i) : world.release(i);
+    case 4:
+      return world.lives(i) ? world.demand(i, static_cast<Parts>(draw(random, 900)))
+                            : world.start(i, clock_rate(random));
+    case 5:
+      return draw(random, 6) == 0 ? world.lead(clock_rate(random)) : world.use(i);
+    case 6:
+      return world.lose(draw(random, world.messages() + 1));
+    case 7:
+      return world.deliver(draw(random, world.messages() + 1), true);  // and comes again
+    case 8:
+      return world.use(i);
+    case 9:
+      return world.release(i);
+    case 10:
+    case 11:
+      return world.ask(i);
+    case 12:
+      return world.agree();
+    default:
+      world.deliver(draw(random, world.messages() + 1));
+      return world.agree();
+  }
+}
+
+TEST(Sum, NeverPassesTheWholeUnderFaultsBySeed) {
+  std::size_t leased = 0;
+  for (std::uint64_t seed = 1; seed <= 2'000; ++seed) {
+    std::mt19937_64 random(seed);
+    FleetWorld world(small_terms(), 2 + seed % 3);
+    for (int n = 0; n < 400; ++n) {
+      step(world, random);
+      const std::string overdrawn = world.overdrawn();
+      ASSERT_EQ(overdrawn, "") << "seed " << seed << " step " << n;
+    }
+    for (std::size_t i = 0; i < world.members(); ++i)
+      leased += world.lives(i) && world.holder(i).number() > 0;
+  }
+  EXPECT_GT(leased, 2'000U);  // the schedules do lease
+}
+
+// With faults over and demand steady every part is in use again within two terms.
+TEST(Sum, ComesBackToTheWholeOnceFaultsAreOver) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    FleetWorld world(small_terms(), 2 + seed % 3);
+    for (int n = 0; n < 200; ++n) step(world, random);
+    world.lose_all();
+    const TimeUs until = world.now() + 2 * 3'100 * kMs;
+    while (world.now() < until) {
+      for (std::size_t i = 0; i < world.members(); ++i) {
+        world.release(i);
+        world.ask(i);
+      }
+      while (world.messages() > 0) world.deliver(0), world.agree();
+      world.pass(300 * kMs);
+      ASSERT_EQ(world.overdrawn(), "") << "seed " << seed;
+    }
+    bool any = false;
+    for (std::size_t i = 0; i < world.members(); ++i) any = any || world.lives(i);
+    EXPECT_TRUE(!any || world.all_in_use()) << "seed " << seed;
+  }
+}
+
+Ask ask_of(std::uint64_t seq, std::uint64_t acked, Parts demand) {
+  return {{"c0", 1}, seq, 1, acked, false, {demand, demand}, {0, 0}};
+}
+
+TEST(Sum, AnAskThatComesTwiceIsAnsweredOnce) {
+  Ledger ledger;
+  ledger.apply({{small_terms()}, {}, {}});
+  EXPECT_EQ(ledger.apply({{}, {}, {ask_of(1, 0, 10)}}).size(), 1U);
+  EXPECT_TRUE(ledger.apply({{}, {}, {ask_of(1, 0, 10)}}).empty());
+  EXPECT_EQ(ledger.members().begin()->second.number, 1U);
+}
+
+// A leader that was deposed decided it; the renewal at the new one came before it in the log.
+TEST(Sum, AnExpiryDecidedBeforeARenewalEndsNothing) {
+  Ledger ledger;
+  ledger.apply({{small_terms()}, {}, {ask_of(1, 0, 10)}});
+  ledger.apply({{}, {}, {ask_of(2, 1, 10)}});
+  ledger.apply({{}, {{{"c0", 1}, 1}}, {}});
+  EXPECT_EQ(ledger.members().size(), 1U);
+  ledger.apply({{}, {{{"c0", 1}, 2}}, {}});
+  EXPECT_TRUE(ledger.members().empty());
+}
+
+// A newcomer finds the reserve, and the least of it before others have given anything back.
+TEST(Sum, ANewcomerHasItsLeastFromTheReserveAtOnce) {
+  FleetWorld world(small_terms(), 2);
+  for (int n = 0; n < 4; ++n) {
+    for (std::size_t i = 0; i < 2; ++i) world.ask(i);
+    while (world.messages() > 0) world.deliver(0), world.agree();
+  }
+  ASSERT_TRUE(world.all_in_use());
+  world.start(2);
+  world.ask(2);
+  while (world.messages() > 0) world.deliver(0), world.agree();
+  EXPECT_GE(world.holder(2).part(0), small_terms().allowances[0].least);
+  EXPECT_EQ(world.overdrawn(), "");
+}
+
+// Small changes of demand move nothing; an earlier start of a name keeps its parts until they are over.
+TEST(Sum, ALeaseDoesNotShrinkByALittleDemand) {
+  FleetWorld world(small_terms(), 2);
+  const auto settle = [&world] {
+    for (int n = 0; n < 4; ++n) {
+      for (std::size_t i = 0; i < 2; ++i) world.ask(i);
+      while (world.messages() > 0) world.deliver(0), world.agree();
+    }
+  };
+  world.demand(0, 800);
+  world.demand(1, 800);
+  settle();
+  const Parts before = world.holder(0).part(0);
+  world.demand(0, before - 10);
+  settle();
+  EXPECT_EQ(world.holder(0).part(0), before);
+  world.demand(0, before / 2);
+  settle();
+  EXPECT_LT(world.holder(0).part(0), before);
+}
+
+// Every schedule of two holders: each step is one of these, tried in all orders up to the length.
+class Exhaustive {
+ public:
+  void run(std::vector<int>& done, int left) {
+    if (left == 0) return;
+    for (int action = 0; action < kActions; ++action) {
+      done.push_back(action);
+      if (play(done)) run(done, left - 1);
+      done.pop_back();
+      if (!fault.empty()) return;
+    }
+  }
+  std::string fault;
+  std::size_t played = 0;
+
+ private:
+  static constexpr int kActions = 9;
+
+  static Terms terms() {
+    Terms t;
+    t.revision = 1;
+    t.largest = 2;
+    t.term = 3'000 * kMs;
+    t.allowances = {{"a", 10, 1, 1, 2}};
+    return t;
+  }
+
+  // False: the last step changed nothing, so what follows was looked at without it.
+  bool play(const std::vector<int>& actions) {
+    ++played;
+    FleetWorld world(terms(), 2);
+    // Both begin with a lease that fills the whole.
+    for (int n = 0; n < 3; ++n) {
+      for (std::size_t i = 0; i < 2; ++i) world.ask(i);
+      while (world.messages() > 0) world.deliver(0), world.agree();
+    }
+    for (std::size_t i = 0; i < 2; ++i) world.use(i);
+    for (const int action : actions) {
+      if (!act(world, action) && &action == &actions.back()) return false;
+      fault = world.overdrawn();
+      if (fault.empty()) continue;
+      for (const int one : actions) fault += " " + std::to_string(one);
+      return false;
+    }
+    return true;
+  }
+
+  static bool act(FleetWorld& world, int action) {
+    const std::size_t before = world.messages();
+    switch (action) {
+      case 0:
+        world.pass(1'600 * kMs);
+        return true;
+      case 1:
+      case 2:
+        world.demand(static_cast<std::size_t>(action - 1), action == 1 ? 9 : 0);
+        world.ask(static_cast<std::size_t>(action - 1));
+        return true;
+      case 3:
+        world.deliver(0);
+        world.agree();
+        return before > 0;
+      case 4:
+        world.deliver(before - 1, true);  // the newest first, and it comes again
+        world.agree();
+        return before > 0;
+      case 5:
+        world.lose(before - 1);
+        return before > 0;
+      case 6:
+        world.lead();
+        world.agree();
+        return true;
+      case 7:
+        world.kill(1);
+        world.start(1);
+        return true;
+      default:
+        for (std::size_t i = 0; i < 2; ++i) world.use(i);
+        return true;
+    }
+  }
+};
+
+TEST(Sum, NeverPassesTheWholeInAnyScheduleOfTwoHolders) {
+  Exhaustive all;
+  std::vector<int> done;
+  all.run(done, 6);
+  EXPECT_EQ(all.fault, "");
+  EXPECT_GT(all.played, 100'000U);
+}
+
+}  // namespace
+}  // namespace orchidgw::budget
