A controller without any share sends nothing; strangers, clocks set back, fleet status tested

Found on reading the change again: with a tenant's part at zero (cut off, nothing set aside) out_of_turn divided by a slice of zero (ilogb of infinity, plus one: undefined), and the bounds still let one query through to each idle engine. workload_budget.cpp: a tenant without a slice is furthest from its turn; without any share nothing is sent, and what is held is refused when its aim can't be met. Module.WithoutAnyShareNothingIsSentAndAllIsRefusedInTime holds it.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -21,6 +21,9 @@
   const auto loaded = load(sources, err);
   if (!loaded) return kBad;
   out << "good: ";
+  if (loaded->fleet)
+    out << "fleet " << loaded->fleet->name << ": " << loaded->fleet->keepers.size() << " keepers, "
+        << loaded->fleet->largest << " controllers at the most; ";
   if (loaded->limits) {
     out << loaded->limits->routes().size() - 1 << " routes and the defaults\n";
   } else {
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -426,6 +426,7 @@
     if (h.q.tenant.empty()) return 0;
     const double left = budget(e, h.q.tenant);
     const double all = slice(e, h.q.tenant);
+    if (all <= 0) return kTriedRank - 1;  // a fleet leaves its tenant nothing: no doubling reaches a turn
     const double heat = std::max(1.0, e.slowdown / (kHot * pool_.slowdown));
     const double turn = left < all ? 1.0 : turn_at(e, window_);
     const double ratio = heat * heat * (h.cost <= all ? 1.0 : turn * (h.cost + all - left) / all);
@@ -483,6 +484,7 @@
   // together any number. The bounds hold for the sum over all engines too, but for short queries, which free
   // them soon.
   bool pool_allows(const Held& h) {
+    if (share_ <= 0) return false;  // without a lease, and nothing set aside for that
     if (h.cost <= mean_work_ || pool_.threads <= 0) return true;
     const double most = kThreadsPerCore * pool_.cores * share_;
     if (pool_.slowdown > kPressure && pool_.threads + cls(h).threads > most) return false;
--- a/tests/budget/sum_test.cpp
+++ b/tests/budget/sum_test.cpp
@@ -113,6 +113,34 @@
   EXPECT_TRUE(ledger.members().empty());
 }
 
+// Starts of a name are ordered by wall time, its only use: set back, the later start waits for the earlier
+// one's lease, and a late word of the earlier one never puts out the one that runs.
+TEST(Sum, AStartWithItsClockSetBackWaitsUntilTheEarlierLeaseIsOver) {
+  Ledger ledger;
+  const auto ask = [](std::uint64_t incarnation, std::uint64_t seq) {
+    Ask out = ask_of(seq, 0, 10);
+    out.from.incarnation = incarnation;
+    return out;
+  };
+  ledger.apply({{small_terms()}, {}, {ask(50, 1)}});
+  EXPECT_EQ(ledger.apply({{}, {}, {ask(40, 1)}}).at(0).kind, Grant::Kind::kNoRoom);
+  ledger.apply({{}, {{{"c0", 50}, 1}}, {}});
+  EXPECT_EQ(ledger.apply({{}, {}, {ask(40, 2)}}).at(0).kind, Grant::Kind::kLease);
+  EXPECT_EQ(ledger.apply({{}, {}, {ask(60, 1)}}).at(0).kind, Grant::Kind::kLease);  // a further start
+  EXPECT_EQ(ledger.apply({{}, {}, {ask(40, 3)}}).at(0).kind, Grant::Kind::kSuperseded);
+  EXPECT_EQ(ledger.members().size(), 2U);  // its parts are its own until they are over
+}
+
+TEST(Sum, MoreControllersThanTheLargestNumberHaveNoLease) {
+  Ledger ledger;
+  ledger.apply({{small_terms(2)}, {}, {}});
+  for (int i = 0; i < 3; ++i) {
+    Ask ask = ask_of(1, 0, 10);
+    ask.from.name = "c" + std::to_string(i);
+    EXPECT_EQ(ledger.apply({{}, {}, {ask}}).at(0).kind, i < 2 ? Grant::Kind::kLease : Grant::Kind::kNoRoom);
+  }
+}
+
 // A newcomer finds the reserve, and the least of it before others have given anything back.
 TEST(Sum, ANewcomerHasItsLeastFromTheReserveAtOnce) {
   FleetWorld world(small_terms(), 2);
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -47,6 +47,8 @@
   int stop(int i);    // SIGTERM; its exit code
   ControllerProcess& at(int i) { return *processes_.at(i); }
   Relay& relay(int from, int keeper) { return *relays_.at({from, keeper}); }
+  const std::string& keeper_address(int k) const { return keeper_addresses_[static_cast<std::size_t>(k)]; }
+  std::string admin(int i) const { return directory_ + "/c" + std::to_string(i) + ".sock"; }
   void cut_off(int i, Relay::Fault fault);             // from and to all keepers
   void change(const FleetShape& shape, int revision);  // the files of all; SIGHUP has them read
 
--- a/tests/fleet/scenarios_test.cpp
+++ b/tests/fleet/scenarios_test.cpp
@@ -1,8 +1,11 @@
 // A fleet of real processes under faults. After each story the auditor holds the sum of all that every
 // process might use against the whole, at every moment of it; the engines' own counts stand beside that.
+#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 
 #include "fleet_harness.h"
+#include "net/admin_socket.h"
+#include "thrift/fleet_codec.h"
 
 namespace orchidgw::integration {
 namespace {
@@ -29,6 +32,11 @@
   fleet.start_all();
   ASSERT_TRUE(fleet.wait_divided({0, 1}));
   fleet.traffic();
+  const std::string status = net::ask_admin(fleet.admin(0), "fleet status\n");
+  EXPECT_NE(status.find("keeper leads leader 1"), std::string::npos) << status;
+  EXPECT_NE(status.find("allowance rate/all whole 200000 leased 140000 set_aside 49998 free 1"),
+            std::string::npos)
+      << status;
   const auto before = fleet.newest_part(0, "rate/all");
   fleet.kill(1);
   ASSERT_TRUE(fleet.wait_divided({0}));
@@ -46,6 +54,24 @@
   expect_held(fleet);
 }
 
+// A message of another version, or of another fleet, is refused with one line, and its connection closed.
+TEST(Fleet, StrangersAreTurnedAwayWithALine) {
+  FleetHarness fleet({});
+  fleet.start(0);
+  using Hello = orchidgw::fleet::Hello;
+  const std::pair<Hello, const char*> strangers[] = {
+      {{9, "test", 7, {"future", 1}, 0}, "name=future why=\"speaks version 9\""},
+      {{1, "other", 7, {"lost", 1}, 0}, "name=lost why=\"is of fleet other 7\""}};
+  for (const auto& [hello, line] : strangers) {
+    Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(fleet.keeper_address(0))};
+    const std::string bytes = thrift::write_fleet(hello);
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    EXPECT_TRUE(fleet.wait_line(0, line));
+    char buffer[4096];
+    while (socket.receiveBytes(buffer, sizeof buffer) > 0) continue;  // its own greeting, then the end
+  }
+}
+
 class FiveControllers : public ::testing::Test {
  protected:
   FiveControllers() : fleet(shape()) {
--- a/tests/unit/module_test.cpp
+++ b/tests/unit/module_test.cpp
@@ -638,6 +638,99 @@
   for (const auto& [at, count] : trials) EXPECT_LE(count, 45) << at;
 }
 
+// --- A fleet's shares ---
+
+FleetShare share_of(double part, int live = 4) {
+  FleetShare share;
+  share.bounds = share.cold = part;
+  share.budgets = {part};
+  share.live = live;
+  return share;
+}
+
+TEST_F(Module, AColdEngineGetsNoMoreThanTheLeaseLeavesAndNothingWithoutOne) {
+  s.gateways = 4;  // as told at the start: a lease comes before it
+  s.rules.fall_multiple = 2;
+  s.rules.fall_window = 2 * kSecond;
+  s.rules.cold_from = 0.3;
+  s.rules.cold_for = 10 * kSecond;
+  std::vector<size_t> sent;
+  for (const double part : {0.0, 0.125, 0.5}) {
+    sink = FakeSink();
+    list.clear();
+    sink.now = 100 * kSecond;
+    begin(1, 100 * kSecond);
+    module->on_share(sink.now, share_of(part, part > 0 ? 4 : 0), sink);
+    for (QueryId i = 1; i <= 100; ++i) {
+      take(query(i));
+      run_until(sink.now + 10 * kMs);
+    }
+    sent.push_back(sink.sent.size());
+  }
+  EXPECT_EQ(sent[0], 0u);
+  EXPECT_GT(sent[1], 0u);
+  EXPECT_LE(sent[1], 14u);  // an eighth of 9.6 s of work by 0.1 s, and turns as engines warm
+  EXPECT_GT(sent[2], 2 * sent[1]);
+}
+
+TEST_F(Module, FurtherAttemptsStayWithinTheFleetsPartToo) {
+  s.rules.attempts_rationed = true;
+  s.rules.extra_free = 10;
+  s.rules.extra_window = 10 * kSecond;
+  begin(5);
+  FleetShare share = share_of(1);
+  share.further_attempts = 2;
+  module->on_share(sink.now, share, sink);
+  for (QueryId i = 1; i <= 20; ++i) take(query(i, i));
+  ASSERT_EQ(sink.sent.size(), 20u);
+  for (size_t i = 0; i < 20; ++i) answer(i, OutcomeKind::kFull);
+  run_until(800 * kMs);
+  EXPECT_EQ(sink.sent.size(), 22u);
+}
+
+// Cut off, with nothing set aside: it sends nothing, and says so in time.
+TEST_F(Module, WithoutAnyShareNothingIsSentAndAllIsRefusedInTime) {
+  s.tenants = {{"a", 1, 100}, {"b", 1, 100}};
+  begin(2);
+  FleetShare none = share_of(0, 0);
+  none.budgets = {0, 0};
+  module->on_share(sink.now, none, sink);
+  Query q = query(1);
+  q.tenant = "a";
+  take(q);
+  run_until(2 * kSecond);
+  EXPECT_TRUE(sink.sent.empty());
+  EXPECT_EQ(sink.refused.count(1), 1u);
+  none.budgets = {0, 1};
+  none.bounds = 0.5;
+  none.live = 2;
+  module->on_share(sink.now, none, sink);
+  q.id = 2;
+  take(q);  // its tenant has nothing, the engines are idle: the design's bounds let it through
+  EXPECT_EQ(sends_of(2), 1u);
+}
+
+// A slice that is dealt stays as it is for its window; the bounds follow the lease at once, and who is held
+// with it.
+TEST_F(Module, WhoIsHeldGoesOnAsSoonAsTheLeaseGrows) {
+  s.gateways = 4;
+  s.tenants = {{"a", 1, 100}};
+  s.classes[0].aim = 30 * kSecond;
+  s.classes[0].deadline = 60 * kSecond;
+  begin(1);
+  module->on_share(sink.now, share_of(0.125), sink);
+  for (QueryId i = 1; i <= 6; ++i) {
+    Query q = query(i);
+    q.time_budget = 60 * kSecond;
+    q.cost_estimate = 3 * kSecond;
+    q.tenant = "a";
+    take(q);
+  }
+  EXPECT_EQ(sink.sent.size(), 2u);  // an eighth of 8 cores for 5 s, and of their threads
+  module->on_share(sink.now, share_of(1), sink);
+  EXPECT_EQ(sink.sent.size(), 6u);
+}
+
 // --- Hundreds of gateways ---
 
 // A slice below one charge let one query of every gateway through: all of them met at the group's home.
