--- a/src/operator_file/fields.cpp
+++ b/src/operator_file/fields.cpp
@@ -149,4 +149,12 @@
   }
 }
 
+void need_version(Fields& top) {
+  const YamlNode* node = top.need("version");
+  if (node == nullptr) return;
+  const auto version = to_count(*node);
+  if (!version || *version != kFormatVersion)
+    top.fault(*node, "version", "this program reads version 1 alone");
+}
+
 }  // namespace orchidgw::operator_file
--- a/src/operator_file/fields.h
+++ b/src/operator_file/fields.h
@@ -38,6 +38,9 @@
   std::vector<const char*> known_;
 };
 
+// Complains unless the file's form is one that this program reads (`version`).
+void need_version(Fields& top);
+
 // Values of one node; nothing where it is no such value.
 std::optional<TimeUs> to_time(const YamlNode& node);    // a number with us, ms, s or m; up to an hour
 std::optional<double> to_number(const YamlNode& node);  // a plain decimal number
--- a/src/operator_file/fleet_reader.cpp
+++ b/src/operator_file/fleet_reader.cpp
@@ -25,7 +25,7 @@
   void read(const YamlNode& root) {
     Fields top(root, "", faults_);
     if (!top.is_map()) return;
-    read_version(top);
+    need_version(top);
     if (const YamlNode* name = top.need("fleet")) read_name(*name);
     Maybe<int> revision, largest, attempts;
     if (top.need("revision") != nullptr) top.count("revision", revision, 1, kCountMost);
@@ -44,14 +44,6 @@
   }
 
  private:
-  void read_version(Fields& top) {
-    const YamlNode* node = top.need("version");
-    if (node == nullptr) return;
-    const auto version = to_count(*node);
-    if (!version || *version != kFormatVersion)
-      top.fault(*node, "version", "this program reads version 1 alone");
-  }
-
   void read_name(const YamlNode& node) {
     Fields fields(node, "fleet", faults_);
     if (!fields.is_map()) return;
--- a/src/operator_file/reader.cpp
+++ b/src/operator_file/reader.cpp
@@ -33,7 +33,7 @@
   void read(const YamlNode& root, OperatorFile& file) {
     Fields top(root, "", faults_);
     if (!top.is_map()) return;
-    read_version(top);
+    need_version(top);
     if (const YamlNode* log = top.find("log")) read_log(*log, file.log);
     if (const YamlNode* defaults = top.find("defaults")) {
       Fields fields(*defaults, "defaults", faults_);
@@ -47,14 +47,6 @@
   }
 
  private:
-  void read_version(Fields& top) {
-    const YamlNode* node = top.need("version");
-    if (node == nullptr) return;
-    const auto version = to_count(*node);
-    if (!version || *version != kFormatVersion)
-      top.fault(*node, "version", "this program reads version 1 alone");
-  }
-
   void read_log(const YamlNode& node, LogChoice& to) {
     Fields fields(node, "log", faults_);
     one_of(fields, "level", kLevels, to.level);
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -71,6 +71,19 @@
          std::to_string(up_since_ms) + "}";
 }
 
+double cpu_of(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(in, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 ControllerProcess::ControllerProcess(const ControllerOptions& options)
     : on_output_(options.on_output), address_(free_address()), program_(options.program) {
   std::string path = (std::filesystem::temp_directory_path() / "orchidgw-test-XXXXXX").string();
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -34,6 +34,8 @@
 std::string member(const std::string& id, const std::string& address, const std::string& phase = "in_service",
                    long up_since_ms = 0);
 
+double cpu_of(pid_t pid);  // seconds of a core that a process has used
+
 class ControllerProcess {
  public:
   explicit ControllerProcess(const ControllerOptions& options);
