Revert: a newcomer takes its least of the reserve and no more

Kept open: of two newcomers at once the first takes the whole reserve (make run-fleet, a third controller without more than its cut-off part for 7 s).

--- a/src/budget/ledger.cpp
+++ b/src/budget/ledger.cpp
@@ -162,9 +162,7 @@
     const bool small = granted - target <= granted / kHysteresis;
     return small && free >= terms.reserve ? granted : target;
   }
-  // Of the reserve a newcomer takes its least and no more: guards against one that leaves none to the next.
-  const Parts beside = std::max<Parts>(free - terms.reserve, 0);
-  const Parts usable = std::max(beside, std::min(terms.least - out, free));
+  const Parts usable = out < terms.least ? free : free - terms.reserve;
   return std::max(granted, std::min(target, out + std::max<Parts>(usable, 0)));
 }
 
