fleet, keeper: what nothing calls goes

Read again: KeeperRole kept a time that nobody read, and it, MemberRole and Keeper had accessors without a caller (entries, ask_now, term, last_index, applied_index); the comment on apply said the earlier of two runs, it is the later one. No behaviour changes.

--- a/src/fleet/keeper_role.cpp
+++ b/src/fleet/keeper_role.cpp
@@ -22,7 +22,6 @@
 }
 
 void KeeperRole::run(TimeUs now, AgreedLog& log) {
-  now_ = now;
   if (arbiter_.leads() && !log.leads()) {
     arbiter_.follow();
     askers_.clear();
--- a/src/fleet/keeper_role.h
+++ b/src/fleet/keeper_role.h
@@ -34,20 +34,18 @@
   std::vector<Reply> take_replies();
   std::optional<TimeUs> next_due() const { return arbiter_.next_due(); }
 
-  // Replica. `apply` counts what it grants from the time of the last `run`.
+  // Replica. What `apply` grants counts from the next `run`, which is later.
   void apply(const budget::Entry& entry) override;
   const budget::Ledger& state() const override { return ledger_; }
   void restore(budget::Ledger state) override { ledger_ = std::move(state); }
 
   std::string status(const AgreedLog& log) const;  // lines for operators
-  std::uint64_t entries() const { return entries_; }
 
  private:
   void answer(const budget::Grant& grant);
 
   budget::Ledger ledger_;
   budget::Arbiter arbiter_;
-  TimeUs now_ = 0;
   std::uint64_t proposed_ = 0;
   std::uint64_t entries_ = 0;
   struct Asker {
--- a/src/fleet/member_role.h
+++ b/src/fleet/member_role.h
@@ -26,7 +26,6 @@
   bool told(TimeUs now, const GrantTold& told);
   void told(TimeUs now, const Elsewhere& elsewhere);
   void link_down(TimeUs now, KeeperId keeper);
-  void ask_now(TimeUs now) { waits_ ? void() : static_cast<void>(due_ = now); }
 
   void leave(TimeUs now);
   const budget::Holder& holder() const { return holder_; }
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -383,10 +383,4 @@
 
 std::uint64_t Keeper::finished() const { return impl_->finished; }
 
-std::uint64_t Keeper::term() const { return impl_->core.current_term; }
-
-std::uint64_t Keeper::last_index() const { return raft_last_index(&impl_->core); }
-
-std::uint64_t Keeper::applied_index() const { return raft_last_applied(&impl_->core); }
-
 }  // namespace orchidgw::keeper
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -52,9 +52,6 @@
   fleet::KeeperId leader() const override;
   bool propose(const budget::Entry& entry) override;
   std::uint64_t finished() const override;
-  std::uint64_t term() const;
-  std::uint64_t last_index() const;
-  std::uint64_t applied_index() const;
 
  private:
   struct Impl;
