--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -110,9 +110,9 @@
   static int send(raft_io* io, raft_io_send* request, const raft_message* message, raft_io_send_cb done) {
     Impl& self = of(io);
     request->cb = done;
-    // Guards against libraft 0.15: a keeper that came to lead, or to stand, while it stored a snapshot answers
-    // whom it takes for its leader, which by then is another field's bytes (its `installSnapshotCb`). Met with
-    // slow disks, schedules 501 to 600.
+    // Guards against libraft 0.15: a keeper that came to lead, or to stand, while it stored a snapshot
+    // answers whom it takes for its leader, which by then is another field's bytes (its `installSnapshotCb`).
+    // Met with slow disks, schedules 501 to 600.
     if (self.addresses.contains(message->server_id))
       self.outbox.push_back(to_message(*message, self.options.id));
     self.after_commit.emplace_back(
--- a/tests/fleet/fleet_harness.cpp
+++ b/tests/fleet/fleet_harness.cpp
@@ -58,15 +58,18 @@
     reply.status = 204;
     return reply;
   }
+  std::string tenant;  // each client asks for a table of its tenant's
+  for (const std::string& one : shape_.tenants)
+    if (call.body.find(" " + one + ".") != std::string::npos) tenant = one;
   {
     const std::lock_guard lock(engine_mutex_);
-    admitted_at_.push_back(boot_us());
-    most_running_ = std::max(most_running_, ++running_);
+    admitted_at_[tenant].push_back(boot_us());
+    most_running_ = std::max(most_running_, ++running_[tenant]);
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(5));  // its work
   {
     const std::lock_guard lock(engine_mutex_);
-    --running_;
+    --running_[tenant];
   }
   reply.headers = {{"X-Pages", "1"}, {"X-Cost-Ms", "5"}, {"X-Needed-Mb", "4"}};
   reply.body = "a\tb\tc\n";
@@ -101,10 +104,13 @@
   const char* scope = shape_.fleet ? "fleet" : "controller";
   const int among = shape_.fleet ? 1 : shape_.controllers;
   std::ostringstream out;
-  out << "version: 1\nlog: {components: {fleet: debug}}\nroutes:\n  - name: all\n    match: {class: lookup}\n"
-      << "    longest_hold: 500ms\n    rate: {per_second: " << shape_.rate / among
-      << ", burst: " << std::max(10 / among, 1) << ", scope: " << scope
-      << "}\n    concurrency: {most: " << shape_.concurrency / among << ", scope: " << scope << "}\n...\n";
+  out << "version: 1\nlog: {components: {fleet: debug}}\nroutes:\n";
+  for (const std::string& tenant : shape_.tenants)
+    out << "  - name: " << tenant << "\n    match: {class: lookup, tenant: " << tenant << "}\n"
+        << "    longest_hold: 500ms\n    rate: {per_second: " << shape_.rate / among
+        << ", burst: " << std::max(10 / among, 1) << ", scope: " << scope
+        << "}\n    concurrency: {most: " << shape_.concurrency / among << ", scope: " << scope << "}\n";
+  out << "...\n";
   return out.str();
 }
 
@@ -114,6 +120,7 @@
   options.change_log = change_log_.address();
   for (std::size_t e = 0; e < engines_.size(); ++e)
     options.members.push_back(member("s-" + std::to_string(e), engines_[e]->address()));
+  options.tenants = shape_.tenants;
   options.limits = limits_file();
   options.words = {"--admin", directory_ + "/" + options.name + ".sock"};
   if (shape_.fleet) {
@@ -238,7 +245,7 @@
 }
 
 // One client of controller i: asks again as soon as it has its answer, whoever the process is by then.
-void FleetHarness::ask_on(int i) {
+void FleetHarness::ask_on(int i, const std::string& tenant) {
   std::unique_ptr<FrontClient> client;
   std::string address;
   std::int32_t tag = 0;
@@ -254,7 +261,7 @@
     FrontAnswer answer;
     try {
       if (!client) client = std::make_unique<FrontClient>(address);
-      client->invoke(++tag, {{"allow", "4000"}});
+      client->invoke(++tag, {{"allow", "4000"}, {"project", tenant}}, "select * from " + tenant + ".orders");
       sent = true;
       answer = client->receive();
     } catch (const std::exception&) {
@@ -281,7 +288,8 @@
   asking_ = true;
   for (int i = 0; i < shape_.controllers; ++i)
     for (int n = 0; n < kClientsEach * (i == 0 ? first_has : 1); ++n)
-      clients_.emplace_back([this, i] { ask_on(i); });
+      clients_.emplace_back(
+          [this, i, n] { ask_on(i, shape_.tenants[static_cast<std::size_t>(n) % shape_.tenants.size()]); });
 }
 
 FleetHarness::Counts FleetHarness::stop_traffic() {
@@ -297,7 +305,9 @@
 
 long FleetHarness::admitted() {
   const std::lock_guard lock(engine_mutex_);
-  return static_cast<long>(admitted_at_.size());
+  long sum = 0;
+  for (const auto& [tenant, at] : admitted_at_) sum += static_cast<long>(at.size());
+  return sum;
 }
 
 int FleetHarness::most_running() {
@@ -308,10 +318,11 @@
 // Counted from the first start: an arrival that comes late on a slow machine is never too early for it.
 bool FleetHarness::rate_held(double burst) {
   const std::lock_guard lock(engine_mutex_);
-  for (std::size_t n = 0; n < admitted_at_.size(); ++n) {
-    const double passed = static_cast<double>(admitted_at_[n] - first_start_) / 1e6;
-    if (static_cast<double>(n + 1) > shape_.rate * passed + burst) return false;
-  }
+  for (const auto& [tenant, at] : admitted_at_)
+    for (std::size_t n = 0; n < at.size(); ++n) {
+      const double passed = static_cast<double>(at[n] - first_start_) / 1e6;
+      if (static_cast<double>(n + 1) > shape_.rate * passed + burst) return false;
+    }
   return true;
 }
 
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -29,7 +29,9 @@
   int keepers = 1;  // the first of them
   int largest = 6;
   int term_ms = 1'500;
-  int rate = 200;        // of the route, queries a second of all together
+  std::vector<std::string> tenants = {
+      "acme"};           // each with a route of its own, the clients are theirs in turn
+  int rate = 200;        // of each route, queries a second of all together
   int concurrency = 24;  // likewise, under way
   bool relays = true;    // else controllers reach each other without
   bool fleet = true;     // else each is alone, with its even part of the limits
@@ -67,8 +69,8 @@
   };
   Counts stop_traffic();
   long admitted();               // by the engines
-  int most_running();            // at one time, over all engines
-  bool rate_held(double burst);  // never more than rate x time since the first start + burst
+  int most_running();            // of one tenant at one time, over all engines
+  bool rate_held(double burst);  // of no tenant more than rate x time since the first start + burst
 
   Audit audit();
 
@@ -79,7 +81,7 @@
   std::string fleet_file(int i) const;
   std::string limits_file() const;
   std::string write_file(const std::string& name, const std::string& text) const;
-  void ask_on(int i);
+  void ask_on(int i, const std::string& tenant);
 
   FleetShape shape_;
   int revision_ = 1;
@@ -96,9 +98,9 @@
   std::uint64_t outputs_ = 0;
 
   std::mutex engine_mutex_;
-  int running_ = 0;
+  std::map<std::string, int> running_;  // by tenant
   int most_running_ = 0;
-  std::vector<std::int64_t> admitted_at_;
+  std::map<std::string, std::vector<std::int64_t>> admitted_at_;
   std::int64_t first_start_ = 0;
 
   std::atomic<bool> asking_{false};
--- a/tests/fleet/scenarios_test.cpp
+++ b/tests/fleet/scenarios_test.cpp
@@ -49,10 +49,10 @@
     ++allowances;
   }
   EXPECT_EQ(allowances, 3);
-  const auto before = fleet.newest_part(0, "rate/all");
+  const auto before = fleet.newest_part(0, "rate/acme");
   fleet.kill(1);
   ASSERT_TRUE(fleet.wait_divided({0}));
-  EXPECT_GT(fleet.newest_part(0, "rate/all"), before);
+  EXPECT_GT(fleet.newest_part(0, "rate/acme"), before);
   fleet.start(1);
   ASSERT_TRUE(fleet.wait_divided({0, 1}));
   const FleetHarness::Counts counts = fleet.stop_traffic();
@@ -94,10 +94,15 @@
     FleetShape shape;
     shape.controllers = 5;
     shape.keepers = 3;
+    shape.tenants = {"acme", "beta"};
     return shape;
   }
   void SetUp() override { ASSERT_TRUE(divided); }
-  void TearDown() override { expect_held(fleet); }
+  // Both sides: what the processes wrote, and what the engines counted, of each tenant at any moment.
+  void TearDown() override {
+    expect_held(fleet);
+    EXPECT_LE(fleet.most_running(), shape().concurrency);
+  }
 
   FleetHarness fleet;
   bool divided = false;
@@ -248,7 +253,7 @@
   for (int i = 0; i < 5; ++i) EXPECT_TRUE(fleet.wait_line(i, "revision 2 "));
   EXPECT_TRUE(fleet.wait_divided(all_but(5)));
   std::int64_t sum = 0;
-  for (int i = 0; i < 5; ++i) sum += fleet.newest_part(i, "rate/all");
+  for (int i = 0; i < 5; ++i) sum += fleet.newest_part(i, "rate/acme");
   EXPECT_LT(sum, 80'000);
 }
 
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -39,7 +39,10 @@
 
 namespace {
 
-std::string settings_json() {
+std::string settings_json(const std::vector<std::string>& names) {
+  std::string tenants;
+  for (const std::string& name : names)
+    tenants += (tenants.empty() ? "" : ",") + (R"({"name":")" + name + R"(","portion":1,"quotaPerS":100})");
   return R"({"balancers":1,"me":0,"myZone":"z","classes":[)"
          R"({"name":"lookup","aim":30000000,"aimStretch":2,"deadline":60000000,"effect":"idempotent","value":1},)"
          R"({"name":"once","aim":30000000,"aimStretch":2,"deadline":60000000,"effect":"at_most_once","value":1}],)"
@@ -47,7 +50,8 @@
          R"("lanesCount":true},"shapes":["std"],)"
          R"("policyLimits":{"maxAttempts":3,"cancel":true,"retryAfter":true,"maxRetryAfter":500000,)"
          R"("connectTimeout":250000,"connIdle":30000000},"rules":{"stopSendingWithin":1000000},)"
-         R"("tenants":[{"name":"acme","portion":1,"quotaPerS":100}]})";
+         R"("tenants":[)" +
+         tenants + "]}";
 }
 
 std::string config_json(const ControllerOptions& options, const std::string& address) {
@@ -58,8 +62,8 @@
          std::to_string(options.memory_mb) + R"(,"sockets":)" + std::to_string(options.sockets) +
          R"(},"changelog":")" + options.change_log +
          R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,"members":[)" +
-         members + R"(]}}]},"settings":)" + (options.settings.empty() ? settings_json() : options.settings) +
-         "}";
+         members + R"(]}}]},"settings":)" +
+         (options.settings.empty() ? settings_json(options.tenants) : options.settings) + "}";
 }
 
 }  // namespace
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -18,8 +18,9 @@
   std::vector<std::string> members;  // JSON of the engines known at the start
   int sockets = 1024;
   int memory_mb = 192;
-  std::string program;   // empty: the one that was built with the tests
-  std::string limits;    // the operators' file; empty: none
+  std::string program;  // empty: the one that was built with the tests
+  std::string limits;   // the operators' file; empty: none
+  std::vector<std::string> tenants = {"acme"};
   std::string settings;  // JSON of the module's settings; empty: the tests' own
   std::function<std::string(const std::string& listen)> config;  // empty: one of the above
   std::vector<std::string> words;                                // of the command line
