recovery: a keeper on an empty disk begins only if no other knows it; ramp and stages of return

src/recovery: DiskClaim (whose disk it is, who is known to have begun, may this keeper vote on what it found) and the stages of return, seen in fleet status and one line each. The store has an owner; greetings carry who has begun. A log without terms waits out the leases of one that may be lost before it grants; after a loss of all members at once the whole is let out by a ramp of ten agreed steps (return: {ramp}, off unless stated).

--- a/src/budget/arbiter.h
+++ b/src/budget/arbiter.h
@@ -4,10 +4,15 @@
 // A new leader does not know when the leases before it were put in force: it counts all of them from when it
 // knows that it leads and has all that was agreed on before. Each of them was asked for earlier than that, so
 // none of them outlives its count here.
+//
+// A log without terms is new: the one before it may be lost with its disks, and its leases may be out. Their
+// longest term is waited out before anything is granted. Where all members of before are gone without one of
+// them asking again, the fleet has been without power: the whole is let out again by a ramp.
 #pragma once
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "budget/ledger.h"
@@ -32,6 +37,8 @@
   void done() { on_its_way_ = false; }  // the entry on its way was applied, or lost
 
   std::optional<TimeUs> next_due() const;
+  // Asks wait: leases of a log that is lost may still be out.
+  bool waits_out(TimeUs now) const { return leads_ && now < not_before_; }
 
  private:
   struct Running {
@@ -39,11 +46,17 @@
     TimeUs over_at = 0;
   };
 
+  std::optional<Parts> next_level(TimeUs now, const Ledger& ledger, const Entry& entry);
+
   bool leads_ = false;
   bool on_its_way_ = false;
   std::optional<Terms> wanted_;
   std::map<MemberKey, Ask> asks_;
   std::map<MemberKey, Running> running_;
+  TimeUs not_before_ = 0;       // of the first terms of a new log
+  std::set<MemberKey> before_;  // members when it began to lead, of whom nobody has asked since
+  bool ramping_ = false;
+  TimeUs step_at_ = 0;  // of the ramp
 };
 
 }  // namespace orchidgw::budget
--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -78,6 +78,7 @@
   number_ = grant.number;
   ends_at_ = *asked + grant.term;
   stopped_ = false;
+  level_ = grant.level;
   live_ = std::max(grant.live, 1);
   place_ = std::clamp(grant.place, 0, live_ - 1);
   for (std::size_t a = 0; a < parts_.size(); ++a) {
--- a/src/budget/holder.h
+++ b/src/budget/holder.h
@@ -48,6 +48,7 @@
   Parts part(std::size_t a) const { return parts_[a]; }  // of the last lease, whether over or not
   int live() const { return live_; }
   int place() const { return place_; }
+  Parts level() const { return level_; }  // of the fleet's ramp
 
  private:
   void resize();
@@ -65,6 +66,7 @@
   TimeUs ends_at_ = 0;
   int live_ = 1;
   int place_ = 0;
+  Parts level_ = kFullLevel;
   bool leaving_ = false;
   bool left_ = false;
   bool superseded_ = false;
--- a/src/budget/ledger.cpp
+++ b/src/budget/ledger.cpp
@@ -21,6 +21,7 @@
 
 std::vector<Grant> Ledger::apply(const Entry& entry) {
   for (const Terms& terms : entry.terms) take(terms);
+  for (const Parts level : entry.level) level_ = std::clamp<Parts>(level, 1, kFullLevel);
   for (const Expiry& expiry : entry.expired) expire(expiry);
   std::vector<Grant> out;
   std::vector<const Ask*> good;
@@ -134,7 +135,7 @@
     std::vector<Claim> claims;
     claims.reserve(states.size());
     for (const Member* member : states) claims.push_back({member->demand[a], terms_.allowances[a].least, 1});
-    out.targets.push_back(divide(terms_.shared(a) - terms_.allowances[a].reserve, claims));
+    out.targets.push_back(divide(at_level(terms_.shared(a) - terms_.allowances[a].reserve), claims));
   }
   return out;
 }
@@ -145,7 +146,8 @@
   return sum;
 }
 
-void Ledger::restore(Terms terms, std::map<MemberKey, Member> members) {
+void Ledger::restore(Terms terms, std::map<MemberKey, Member> members, Parts level) {
+  level_ = std::clamp<Parts>(level, 1, kFullLevel);
   terms_ = std::move(terms);
   members_ = std::move(members);
 }
@@ -154,14 +156,15 @@
 // but for steps so small that moving them is not worth it, while nothing is missing.
 Parts Ledger::next_part(std::size_t a, const Member& member, Parts target, Parts free) const {
   const Allowance& terms = terms_.allowances[a];
+  const Parts reserve = at_level(terms.reserve);
   const Parts granted = member.granted[a];
   const Parts out = member.outstanding(a);
   if (target < granted) {
     const bool small = granted - target <= granted / kHysteresis;
-    return small && free >= terms.reserve ? granted : target;
+    return small && free >= reserve ? granted : target;
   }
   // Of the reserve a newcomer takes its least and no more: guards against one that leaves none to the next.
-  const Parts beside = std::max<Parts>(free - terms.reserve, 0);
+  const Parts beside = std::max<Parts>(free - reserve, 0);
   const Parts usable = std::max(beside, std::min(terms.least - out, free));
   return std::max(granted, std::min(target, out + std::max<Parts>(usable, 0)));
 }
@@ -174,6 +177,7 @@
   out.number = ++m.number;
   out.revision = terms_.revision;
   out.term = terms_.term;
+  out.level = level_;
   m.term = std::max(m.term, terms_.term);
   const auto at = std::lower_bound(division.members.begin(), division.members.end(), ask.from,
                                    [](const MemberKey* one, const MemberKey& key) { return *one < key; });
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -41,10 +41,11 @@
   const Terms& terms() const { return terms_; }
   const std::map<MemberKey, Member>& members() const { return members_; }
   Parts outstanding(std::size_t a) const;  // of all members together
-  Parts free(std::size_t a) const { return terms_.shared(a) - outstanding(a); }
+  Parts free(std::size_t a) const { return at_level(terms_.shared(a)) - outstanding(a); }
+  Parts level() const { return level_; }  // of the ramp
 
   // For snapshots.
-  void restore(Terms terms, std::map<MemberKey, Member> members);
+  void restore(Terms terms, std::map<MemberKey, Member> members, Parts level);
   bool operator==(const Ledger&) const = default;
 
  private:
@@ -61,7 +62,12 @@
   Grant grant(const Ask& ask, const Division& division, std::vector<Parts>& free);
   Parts next_part(std::size_t a, const Member& member, Parts target, Parts free) const;
 
+  Parts at_level(Parts parts) const {
+    return static_cast<Parts>(static_cast<WideParts>(parts) * level_ / kFullLevel);
+  }
+
   Terms terms_;
+  Parts level_ = kFullLevel;
   std::map<MemberKey, Member> members_;
 };
 
--- a/src/budget/terms.h
+++ b/src/budget/terms.h
@@ -14,6 +14,8 @@
 using Parts = std::int64_t;
 __extension__ typedef __int128 WideParts;  // products of parts, exact
 
+inline constexpr Parts kFullLevel = 1'000'000;
+
 // One allowance and its whole. largest x cut_off + reserve <= whole.
 struct Allowance {
   std::string name;
@@ -30,6 +32,9 @@
   TimeUs term = 0;             // of a lease, from when its holder asked for it
   std::int64_t drift_ppm = 0;  // any two clocks run apart by this at the most (parts per million)
   std::vector<Allowance> allowances;
+  // After all members were lost at once, what leases sum to rises to the whole over this time: engines are
+  // cold then, and meet one sum, however many controllers there are. 0: at once.
+  TimeUs ramp = 0;
   bool operator==(const Terms&) const = default;
 
   // What leases may sum to: the whole less what is set aside for those that are cut off.
@@ -76,6 +81,7 @@
   int live = 1;              // members
   int place = 0;             // of this one among them, from 0
   std::vector<Parts> parts;  // by allowance, beside the cut-off part
+  Parts level = kFullLevel;  // parts per million of the whole that the fleet is held to
   bool operator==(const Grant&) const = default;
 };
 
@@ -86,12 +92,13 @@
   bool operator==(const Expiry&) const = default;
 };
 
-// What is agreed on in one step: applied whole, in this order.
+// What is agreed on in one step: applied whole; terms and level first, asks last.
 struct Entry {
   std::vector<Terms> terms;  // none or one
   std::vector<Expiry> expired;
   std::vector<Ask> asks;
-  bool empty() const { return terms.empty() && expired.empty() && asks.empty(); }
+  std::vector<Parts> level = {};  // none or one: of the ramp, parts per million
+  bool empty() const { return terms.empty() && expired.empty() && asks.empty() && level.empty(); }
   bool operator==(const Entry&) const = default;
 };
 
--- a/src/fleet/allowances.cpp
+++ b/src/fleet/allowances.cpp
@@ -47,6 +47,7 @@
   out.largest = config.largest;
   out.term = config.term;
   out.drift_ppm = config.drift_ppm;
+  out.ramp = config.ramp;
   const auto add = [&](std::string name, Parts whole) {
     out.allowances.push_back(divided(config, std::move(name), whole));
   };
--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -31,6 +31,7 @@
   int largest = 1;             // controllers there may ever be at one time
   TimeUs term = 0;             // of a lease
   std::int64_t drift_ppm = 0;
+  TimeUs ramp = 0;  // over which the whole is let out again after all members were lost at once; 0: at once
   Division division;
   std::optional<int>
       further_attempts;  // of all controllers together, in the rules' window; none: not divided
--- a/src/fleet/member_role.cpp
+++ b/src/fleet/member_role.cpp
@@ -48,6 +48,7 @@
 }
 
 bool MemberRole::told(TimeUs now, const GrantTold& told) {
+  leader_known_ = true;
   const bool news = holder_.answered(now, told.grant, told.terms);
   // A lease by an earlier ask is an answer as good: the keeper is there, and slow.
   if (told.grant.seq != last_seq_ && !news) return news;
@@ -61,10 +62,17 @@
 
 void MemberRole::told(TimeUs now, const Elsewhere& elsewhere) {
   if (!waits_ || elsewhere.seq != last_seq_) return;
+  leader_known_ = elsewhere.leader != 0;
+  if (elsewhere.leader == asks()) {  // it leads, and grants nothing yet
+    waits_ = false;
+    redirects_ = 0;
+    due_ = now + spread(holder_.terms().term / kElsewherePart);
+    return;
+  }
   const auto known = std::find(keepers_.begin(), keepers_.end(), elsewhere.leader);
   // Guards against keepers that each take another for the leader: asked in a circle, as fast as they answer.
   const bool in_a_circle = ++redirects_ > kRedirectsMost;
-  if (in_a_circle || elsewhere.leader == 0 || known == keepers_.end() || elsewhere.leader == asks())
+  if (in_a_circle || elsewhere.leader == 0 || known == keepers_.end())
     return try_next(now, spread(holder_.terms().term / kElsewherePart));
   at_ = static_cast<std::size_t>(known - keepers_.begin());
   waits_ = false;
--- a/src/fleet/member_role.h
+++ b/src/fleet/member_role.h
@@ -27,6 +27,9 @@
   void told(TimeUs now, const Elsewhere& elsewhere);
   void link_down(TimeUs now, KeeperId keeper);
 
+  // Some keeper led, by the last answer.
+  bool leader_known() const { return leader_known_; }
+
   void leave(TimeUs now);
   const budget::Holder& holder() const { return holder_; }
 
@@ -45,6 +48,7 @@
   TimeUs due_ = 0;
   TimeUs answer_by_ = 0;
   bool waits_ = false;
+  bool leader_known_ = false;
   int redirects_ = 0;  // since the last answer
 };
 
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -22,6 +22,7 @@
   std::uint64_t number = 0;
   budget::MemberKey from;
   KeeperId keeper = 0;
+  std::vector<KeeperId> begun;  // a keeper's: which keepers it knows to have a log, itself too
   bool operator==(const Hello&) const = default;
 };
 
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -24,7 +24,7 @@
 }
 
 fleet::Hello hello_of(const fleet::FleetConfig& config, const FleetSelf& self, fleet::KeeperId keeper) {
-  return {fleet::kVersion, config.name, config.number, {self.name, self.incarnation}, keeper};
+  return {fleet::kVersion, config.name, config.number, {self.name, self.incarnation}, keeper, {}};
 }
 
 }  // namespace
@@ -56,9 +56,14 @@
              [this](std::uint64_t link) {
                if (keeper_) keeper_->post(KeeperThread::LinkGone{link});
              },
-             [this](fleet::KeeperId keeper) { role_.link_down(boot_now(), keeper); }}) {
+             [this](fleet::KeeperId keeper) { role_.link_down(boot_now(), keeper); },
+             [this](const fleet::Hello& hello) {
+               keeper_heard_ = true;
+               if (keeper_) keeper_->post(KeeperThread::Greeted{hello.keeper, hello.begun});
+             }}) {
   if (own_keeper_ == 0) return;
   keeper_ = std::make_unique<KeeperThread>(keeper_options(config, self, own_keeper_), config.store,
+                                           store::StoredOwner{config.name, config.number, own_keeper_, {}},
                                            role_.holder().terms());
   wake_ = std::make_unique<Channel>(context.reactor, ::dup(keeper_->wake_fd()), *this);
   wake_->want_read(true);
@@ -72,6 +77,8 @@
 
 void FleetMember::check(TimeUs now) {
   port_.check(now);
+  for (const fleet::KeeperId keeper : waits_for_) port_.greet(keeper);
+  look_at_stage(now);
   if (role_.due(now) && !role_.holder().left() && !role_.holder().superseded()) ask(now);
 }
 
@@ -164,6 +171,10 @@
   KeeperThread::Output out = keeper_->take();
   for (const std::string& note : out.notes)
     context_.log.write(log::Level::kInfo, log::Component::kFleet, note);
+  keeps_ = out.keeps;
+  keeper_heard_ = keeper_heard_ || keeps_;
+  waits_for_ = std::move(out.waits_for);
+  port_.knows(std::move(out.begun));
   for (const fleet::LogMessage& message : out.to_keepers) port_.send(message.to, message);
   for (const auto& reply : out.replies) {
     if (reply.link == 0) {
@@ -189,9 +200,29 @@
   return leaving_since_ > 0 && (role_.holder().left() || now - leaving_since_ >= kLeaveWithin);
 }
 
+void FleetMember::look_at_stage(TimeUs now) {
+  const budget::Holder& holder = role_.holder();
+  recovery::Facts facts;
+  facts.keeps = own_keeper_ != 0;
+  facts.store_ok = keeps_;
+  facts.keeper_heard = keeper_heard_;
+  facts.leader_known = role_.leader_known();
+  facts.leased = holder.leased(now);
+  for (std::size_t a = 0; a < holder.terms().allowances.size(); ++a)
+    facts.any_part = facts.any_part || holder.part(a) > 0;
+  facts.level = holder.level();
+  const recovery::Stage stage = recovery::stage_of(facts);
+  if (stage_ == stage) return;
+  stage_ = stage;
+  context_.log.write(log::Level::kInfo, log::Component::kFleet,
+                     "stage " + std::string(recovery::name_of(stage)));
+}
+
 std::string FleetMember::status(TimeUs now) const {
   const budget::Holder& holder = role_.holder();
   std::ostringstream out;
+  out << "stage " << (stage_ ? recovery::name_of(*stage_) : "store") << " level_percent "
+      << holder.level() * 100 / budget::kFullLevel << '\n';
   out << "fleet " << config_.name << ' ' << config_.number << " member " << holder.self().name
       << " incarnation " << holder.self().incarnation << '\n';
   out << "lease " << holder.number() << ' ' << (holder.leased(now) ? "runs" : "none") << " left_ms "
--- a/src/net/fleet_member.h
+++ b/src/net/fleet_member.h
@@ -13,6 +13,7 @@
 #include "net/context.h"
 #include "net/fleet_port.h"
 #include "net/keeper_thread.h"
+#include "recovery/stages.h"
 
 namespace orchidgw::net {
 
@@ -60,6 +61,7 @@
   void told(const fleet::Message& message);
   void ask(TimeUs now);
   void log_lease(TimeUs now);
+  void look_at_stage(TimeUs now);
   static keeper::Options keeper_options(const fleet::FleetConfig& config, const FleetSelf& self,
                                         fleet::KeeperId id);
 
@@ -76,6 +78,10 @@
   std::optional<fleet::Shares> shares_;  // as they were told last
   bool look_again_ = true;               // the lease is another
   bool leased_ = false;
+  bool keeps_ = false;  // its disk is in use
+  bool keeper_heard_ = false;
+  std::vector<fleet::KeeperId> waits_for_;  // greetings without which its disk is not used
+  std::optional<recovery::Stage> stage_;
   TimeUs leaving_since_ = 0;
 };
 
--- a/src/net/fleet_port.cpp
+++ b/src/net/fleet_port.cpp
@@ -61,7 +61,11 @@
 void FleetPort::came(PeerLink& link, fleet::Message message) {
   if (const auto* hello = std::get_if<fleet::Hello>(&message)) {
     const std::string fault = fault_of(*hello);
-    if (fault.empty()) return link.set_peer(*hello);
+    if (fault.empty()) {
+      link.set_peer(*hello);
+      if (hello->keeper != 0) events_.keeper_greets(*hello);
+      return;
+    }
     context_.log.write(log::Level::kWarn, log::Component::kFleet, "a stranger is turned away",
                        {{"name", hello->from.name}, {"why", fault}});
     return link.close(fault);
@@ -112,6 +116,11 @@
   return link->send(message);
 }
 
+void FleetPort::greet(fleet::KeeperId keeper) {
+  Outgoing& outgoing = outgoing_[keeper];
+  if (!outgoing.link) connect(keeper, outgoing);
+}
+
 bool FleetPort::reply(std::uint64_t link, const fleet::Message& message) {
   const auto it = accepted_.find(link);
   if (it == accepted_.end()) return false;
--- a/src/net/fleet_port.h
+++ b/src/net/fleet_port.h
@@ -19,6 +19,7 @@
     std::function<void(std::uint64_t link, fleet::Message)> message;  // after its Hello
     std::function<void(std::uint64_t link)> link_gone;                // of those that were accepted
     std::function<void(fleet::KeeperId)> keeper_gone;  // the connection to it, or it never came up
+    std::function<void(const fleet::Hello&)> keeper_greets;
   };
 
   // `listener`: owned from here on; -1: this controller keeps nothing. `seed`: of how reconnects are spread.
@@ -28,6 +29,9 @@
   // Over the connection to that keeper, which is opened where there is none; false: it is left out.
   bool send(fleet::KeeperId to, const fleet::Message& message);
   bool reply(std::uint64_t link, const fleet::Message& message);
+  // Opens a connection to that keeper where there is none: each side greets the other.
+  void greet(fleet::KeeperId keeper);
+  void knows(std::vector<fleet::KeeperId> begun) { self_.begun = std::move(begun); }  // for later greetings
   void hang_up(fleet::KeeperId keeper);  // it does not answer: the next word to it goes over a new connection
   void check(TimeUs now);                // time limits
   TimeUs next_due() const;
--- a/src/net/keeper_thread.cpp
+++ b/src/net/keeper_thread.cpp
@@ -25,11 +25,11 @@
 }  // namespace
 
 KeeperThread::KeeperThread(const keeper::Options& options, const std::string& folder,
-                           const budget::Terms& own)
-    : options_(options), folder_(folder), own_(own) {
-  store_ = std::make_unique<store::LmdbStore>(folder_, kStoreBytes);
+                           const store::StoredOwner& self, const budget::Terms& own)
+    : options_(options), self_(self), folder_(folder), own_(own) {
+  open_store();
   role_ = std::make_unique<fleet::KeeperRole>(own_);
-  keeper_ = std::make_unique<keeper::Keeper>(options_, *store_, *role_, boot_now());
+  if (claim_->verdict() == Verdict::kMay) begin_keeper();
   wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (wake_ < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
   thread_ = std::thread([this] { run(); });
@@ -58,7 +58,11 @@
   std::uint64_t count = 0;
   while (::read(wake_, &count, sizeof count) > 0) continue;
   const std::lock_guard lock(mutex_);
-  return std::exchange(output_, {});
+  Output out = std::exchange(output_, {});
+  output_.begun = out.begun;  // what holds until it is another
+  output_.waits_for = out.waits_for;
+  output_.keeps = out.keeps;
+  return out;
 }
 
 std::string KeeperThread::status() const {
@@ -66,20 +70,59 @@
   return status_;
 }
 
-// Another keeper on the same store: after a full or failing disk, once it is better. False: not yet.
+// Throws what names the folder: a store that can't be read, or another's.
+void KeeperThread::open_store() {
+  store_.reset();
+  store_ = std::make_unique<store::LmdbStore>(folder_, kStoreBytes);
+  store::Stored found;
+  try {
+    found = store_->load();
+  } catch (const store::StoreError& e) {
+    throw store::StoreError(folder_ + ": " + e.what(), e.full());
+  }
+  if (found.owner) {
+    const std::string fault = recovery::fault_of(*found.owner, self_);
+    if (!fault.empty()) throw store::StoreError(folder_ + ": " + fault, false);
+  }
+  claim_.emplace(self_, options_.voters, found);
+}
+
+// Whose disk it is and that it has begun is stored with the first of the log.
+void KeeperThread::begin_keeper() {
+  claim_->begin();
+  store_->set_owner(claim_->owner());
+  keeper_ = std::make_unique<keeper::Keeper>(options_, *store_, *role_, boot_now());
+}
+
+// Where there is no keeper: on a disk that failed and may be better, or one that is empty, once it may begin.
+// False: not yet.
 bool KeeperThread::make_keeper() {
-  if (boot_now() < retry_at_) return false;
-  retry_at_ = boot_now() + kRetryAfter;
+  if (failed_ && boot_now() < retry_at_) return false;
   try {
-    keeper_.reset();
-    role_ = std::make_unique<fleet::KeeperRole>(own_);
-    store_.reset();
-    store_ = std::make_unique<store::LmdbStore>(folder_, kStoreBytes);
-    keeper_ = std::make_unique<keeper::Keeper>(options_, *store_, *role_, boot_now());
-    notes_.push_back("keeping again");
-    return true;
+    if (failed_) {
+      retry_at_ = boot_now() + kRetryAfter;
+      keeper_.reset();
+      role_ = std::make_unique<fleet::KeeperRole>(own_);
+      open_store();
+    }
+    const Verdict verdict = claim_->verdict();
+    if (verdict == Verdict::kMay) {
+      begin_keeper();
+      notes_.push_back(failed_ ? "keeping again"
+                               : "an empty disk, and no other keeper knows it: a log is begun");
+      failed_ = false;
+      return true;
+    }
+    if (verdict == Verdict::kMustNot && said_ != verdict)
+      notes_.push_back(
+          "this keeper has begun before, on a disk that is lost: it must not vote on an empty one");
+    if (verdict == Verdict::kWait && said_ != verdict)
+      notes_.push_back("an empty disk: the word of every other keeper is waited for");
+    said_ = verdict;
+    return false;
   } catch (const std::exception& e) {
     keeper_.reset();
+    failed_ = true;
     notes_.push_back(std::string("can't keep: ") + e.what());
     return false;
   }
@@ -92,7 +135,12 @@
       role_->wants(own_);
     } else if (auto* gone = std::get_if<LinkGone>(&input)) {
       role_->link_gone(gone->link);
+    } else if (auto* greeted = std::get_if<Greeted>(&input)) {
+      claim_->told(greeted->by, greeted->begun);
+      const auto& begun = greeted->begun;  // its own word for itself
+      if (std::find(begun.begin(), begun.end(), greeted->by) != begun.end()) note_begun(greeted->by);
     } else if (auto* message = std::get_if<fleet::LogMessage>(&input)) {
+      note_begun(message->from);
       if (keeper_) keeper_->receive(*message);
     } else if (auto* asked = std::get_if<Asked>(&input)) {
       if (keeper_) role_->asked(*keeper_, asked->link, std::move(asked->ask));
@@ -101,6 +149,11 @@
   inputs.clear();
 }
 
+// Stored before anything that follows from it leaves.
+void KeeperThread::note_begun(fleet::KeeperId keeper) {
+  if (claim_->met(keeper) && keeper_) store_->set_owner(claim_->owner());
+}
+
 void KeeperThread::give_out() {
   std::vector<fleet::LogMessage> messages;
   if (keeper_) messages = keeper_->take_outbox();
@@ -113,7 +166,16 @@
   }
   const std::lock_guard lock(mutex_);
   if (!status.empty()) status_ = std::move(status);
-  if (messages.empty() && replies.empty() && notes_.empty()) return;
+  Output now_known;
+  now_known.keeps = keeper_ != nullptr;
+  if (claim_->verdict() == Verdict::kWait) now_known.waits_for = claim_->waits_for();
+  if (keeper_) now_known.begun.assign(claim_->owner().begun.begin(), claim_->owner().begun.end());
+  const bool other = now_known.keeps != output_.keeps || now_known.waits_for != output_.waits_for ||
+                     now_known.begun != output_.begun;
+  output_.keeps = now_known.keeps;
+  output_.waits_for = std::move(now_known.waits_for);
+  output_.begun = std::move(now_known.begun);
+  if (messages.empty() && replies.empty() && notes_.empty() && !other) return;
   const auto move_in = [](auto& to, auto& from) {
     for (auto& one : from)
       if (to.size() < kQueueMost) to.push_back(std::move(one));
@@ -135,7 +197,7 @@
     {
       std::unique_lock lock(mutex_);
       if (inputs_.empty() && !stop_) {
-        TimeUs due = keeper_ ? keeper_->next_tick() : retry_at_;
+        TimeUs due = keeper_ ? keeper_->next_tick() : failed_ ? retry_at_ : boot_now() + kRetryAfter;
         if (const auto role = role_->next_due()) due = std::min(due, *role);
         const TimeUs wait = std::clamp<TimeUs>(due - boot_now(), 0, kRetryAfter);
         changed_.wait_for(lock, std::chrono::microseconds(wait),
@@ -144,8 +206,8 @@
       if (stop_) return;
       inputs.swap(inputs_);
     }
-    if (!keeper_) make_keeper();
     take_in(inputs);
+    if (!keeper_) make_keeper();
     if (keeper_) {
       // What this turn brought is made durable in one go, and what it led to in the next.
       keeper_->advance(boot_now());
@@ -160,6 +222,7 @@
       if (!keeper_->failure().empty()) {
         notes_.push_back("keeping stops: " + keeper_->failure());
         keeper_.reset();
+        failed_ = true;
         led_ = false;
         retry_at_ = boot_now() + kRetryAfter;
       }
--- a/src/net/keeper_thread.h
+++ b/src/net/keeper_thread.h
@@ -12,6 +12,7 @@
 
 #include "fleet/keeper_role.h"
 #include "keeper/keeper.h"
+#include "recovery/disk_claim.h"
 
 namespace orchidgw::net {
 
@@ -24,16 +25,24 @@
   struct LinkGone {
     fleet::LinkId link = 0;
   };
-  using Input = std::variant<fleet::LogMessage, Asked, LinkGone, budget::Terms>;
+  struct Greeted {  // by another keeper
+    fleet::KeeperId by = 0;
+    std::vector<fleet::KeeperId> begun;
+  };
+  using Input = std::variant<fleet::LogMessage, Asked, LinkGone, Greeted, budget::Terms>;
 
   struct Output {
     std::vector<fleet::LogMessage> to_keepers;
     std::vector<fleet::KeeperRole::Reply> replies;
-    std::vector<std::string> notes;  // for the log
+    std::vector<std::string> notes;          // for the log
+    std::vector<fleet::KeeperId> begun;      // as of now; see recovery::DiskClaim
+    std::vector<fleet::KeeperId> waits_for;  // whose greeting this keeper needs before it may begin
+    bool keeps = false;
   };
 
   // Opens the store. Throws what names the folder and the reason.
-  KeeperThread(const keeper::Options& options, const std::string& folder, const budget::Terms& own);
+  KeeperThread(const keeper::Options& options, const std::string& folder, const store::StoredOwner& self,
+               const budget::Terms& own);
   ~KeeperThread();
   KeeperThread(const KeeperThread&) = delete;
   KeeperThread& operator=(const KeeperThread&) = delete;
@@ -44,12 +53,21 @@
   std::string status() const;  // as of a moment ago
 
  private:
+  using Verdict = recovery::DiskClaim::Verdict;
+
   void run();
   void take_in(std::vector<Input>& inputs);
   void give_out();
+  void open_store();
+  void begin_keeper();
+  void note_begun(fleet::KeeperId keeper);
   bool make_keeper();
 
   keeper::Options options_;
+  store::StoredOwner self_;
+  std::optional<recovery::DiskClaim> claim_;
+  Verdict said_ = Verdict::kMay;  // last in a note
+  bool failed_ = false;           // the store did
   std::string folder_;
   std::unique_ptr<store::LogStore> store_;
   std::unique_ptr<keeper::Keeper> keeper_;
--- a/src/operator_file/fleet_reader.cpp
+++ b/src/operator_file/fleet_reader.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kLargestMost = 10'000;
 constexpr TimeUs kTermLeast = 200'000, kTermMost = 60'000'000;
+constexpr TimeUs kRampMost = 600'000'000;
 constexpr double kDriftMost = 0.1;
 constexpr double kMillion = 1e6;
 constexpr int kCountMost = 1'000'000;
@@ -35,6 +36,7 @@
     if (largest) to_.largest = largest->value;
     if (attempts) to_.further_attempts = attempts->value;
     if (const YamlNode* lease = top.need("lease")) read_lease(*lease);
+    if (const YamlNode* comes_back = top.find("return")) read_return(*comes_back);
     if (const YamlNode* division = top.find("division")) read_division(*division);
     if (const YamlNode* keepers = top.need("keepers")) read_keepers(top, *keepers);
     Maybe<std::string> store;
@@ -70,6 +72,16 @@
     if (drift) to_.drift_ppm = std::llround(drift->value * kMillion);
   }
 
+  void read_return(const YamlNode& node) {
+    Fields fields(node, "return", faults_);
+    if (!fields.is_map()) return;
+    Maybe<TimeUs> ramp;
+    if (fields.need("ramp") != nullptr) fields.time("ramp", ramp, kTermLeast);
+    fields.finish();
+    if (ramp && ramp->value > kRampMost) fields.fault(*fields.find("ramp"), "ramp", "10m at most");
+    if (ramp) to_.ramp = ramp->value;
+  }
+
   void read_division(const YamlNode& node) {
     Fields fields(node, "division", faults_);
     if (!fields.is_map()) return;
--- /dev/null
+++ b/src/recovery/stages.cpp
@@ -0,0 +1,36 @@
+#include "recovery/stages.h"
+
+namespace orchidgw::recovery {
+
+std::string_view name_of(Stage stage) {
+  switch (stage) {
+    case Stage::kStore:
+      return "store";
+    case Stage::kKeepers:
+      return "keepers";
+    case Stage::kLog:
+      return "log";
+    case Stage::kTerms:
+      return "terms";
+    case Stage::kBudgets:
+      return "budgets";
+    case Stage::kRamp:
+      return "ramp";
+    case Stage::kFull:
+      return "full";
+  }
+  return "";
+}
+
+Stage stage_of(const Facts& facts) {
+  // A lease tells that all before it is there, whatever this controller's own disk does.
+  if (!facts.leased) {
+    if (facts.keeps && !facts.store_ok) return Stage::kStore;
+    if (!facts.keeper_heard) return Stage::kKeepers;
+    return facts.leader_known ? Stage::kTerms : Stage::kLog;
+  }
+  if (!facts.any_part) return Stage::kBudgets;
+  return facts.level < budget::kFullLevel ? Stage::kRamp : Stage::kFull;
+}
+
+}  // namespace orchidgw::recovery
--- a/src/store/lmdb_store.cpp
+++ b/src/store/lmdb_store.cpp
@@ -17,6 +17,7 @@
 
 // Keys of the table "meta"; "log" has the entries by index.
 constexpr const char* kKeyFormat = "format";
+constexpr const char* kKeyOwner = "owner";
 constexpr const char* kKeyTerm = "term";
 constexpr const char* kKeyVote = "vote";
 constexpr const char* kKeySnapshot = "snapshot";
@@ -95,6 +96,24 @@
   return out;
 }
 
+std::string record_of(const StoredOwner& owner) {
+  std::string out;
+  put_text(out, owner.fleet);
+  put(out, owner.number);
+  put(out, owner.keeper);
+  for (const std::uint32_t one : owner.begun) put(out, one);
+  return out;
+}
+
+StoredOwner owner_of(std::string_view record) {
+  StoredOwner out;
+  out.fleet = take_text(record);
+  out.number = take(record);
+  out.keeper = static_cast<std::uint32_t>(take(record));
+  while (!record.empty()) out.begun.insert(static_cast<std::uint32_t>(take(record)));
+  return out;
+}
+
 // One transaction: given up unless it was committed.
 class Transaction {
  public:
@@ -196,6 +215,7 @@
 Stored LmdbStore::load() {
   const Transaction txn(impl_->env, MDB_RDONLY);
   Stored out;
+  if (const auto record = impl_->get_meta(txn.get(), kKeyOwner)) out.owner = owner_of(*record);
   out.term = impl_->get_number(txn.get(), kKeyTerm);
   out.vote = impl_->get_number(txn.get(), kKeyVote);
   if (const auto record = impl_->get_meta(txn.get(), kKeySnapshot)) out.snapshot = snapshot_of(*record);
@@ -218,6 +238,11 @@
   return out;
 }
 
+void LmdbStore::set_owner(const StoredOwner& owner) {
+  impl_->asked.emplace_back(
+      [this, owner](MDB_txn* txn) { impl_->put_meta(txn, kKeyOwner, record_of(owner)); });
+}
+
 void LmdbStore::set_term(std::uint64_t term) {
   impl_->asked.emplace_back([this, term](MDB_txn* txn) {
     impl_->put_number(txn, kKeyTerm, term);
--- a/src/store/lmdb_store.h
+++ b/src/store/lmdb_store.h
@@ -17,6 +17,7 @@
   ~LmdbStore() override;
 
   Stored load() override;
+  void set_owner(const StoredOwner& owner) override;
   void set_term(std::uint64_t term) override;
   void set_vote(std::uint64_t vote) override;
   void append(std::uint64_t first, std::vector<StoredEntry> entries) override;
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -26,12 +27,23 @@
   bool operator==(const StoredSnapshot&) const = default;
 };
 
+// Whose log it is, and which keepers that one knows to have begun theirs.
+struct StoredOwner {
+  std::string fleet;
+  std::uint64_t number = 0;
+  std::uint32_t keeper = 0;
+  std::set<std::uint32_t> begun;
+  bool operator==(const StoredOwner&) const = default;
+};
+
 struct Stored {
+  std::optional<StoredOwner> owner;  // none: nobody's, or written before there was one
   std::uint64_t term = 0;
   std::uint64_t vote = 0;  // 0: none in this term
   std::optional<StoredSnapshot> snapshot;
   std::uint64_t first = 1;  // index of the first entry
   std::vector<StoredEntry> entries;
+  // No log, whoever's it is.
   bool empty() const { return term == 0 && !snapshot && entries.empty(); }
 };
 
@@ -51,6 +63,7 @@
  public:
   virtual ~LogStore() = default;
   virtual Stored load() = 0;
+  virtual void set_owner(const StoredOwner& owner) = 0;
   virtual void set_term(std::uint64_t term) = 0;  // forgets the vote
   virtual void set_vote(std::uint64_t vote) = 0;
   virtual void append(std::uint64_t first, std::vector<StoredEntry> entries) = 0;
--- a/src/thrift/fleet_codec.cpp
+++ b/src/thrift/fleet_codec.cpp
@@ -21,6 +21,7 @@
 struct LedgerState {
   Terms terms;
   std::vector<MemberEntry> members;
+  Parts level = kFullLevel;
 };
 
 template <typename F, typename T>
@@ -31,25 +32,25 @@
   } else if constexpr (std::is_same_v<S, Allowance>) {
     f(1, t.name), f(2, t.whole), f(3, t.cut_off), f(4, t.reserve), f(5, t.least);
   } else if constexpr (std::is_same_v<S, Terms>) {
-    f(1, t.revision), f(2, t.largest), f(3, t.term), f(4, t.drift_ppm), f(5, t.allowances);
+    f(1, t.revision), f(2, t.largest), f(3, t.term), f(4, t.drift_ppm), f(5, t.allowances), f(6, t.ramp);
   } else if constexpr (std::is_same_v<S, Ask>) {
     f(1, t.from), f(2, t.seq), f(3, t.revision), f(4, t.acked), f(5, t.leaving), f(6, t.demand), f(7, t.held);
   } else if constexpr (std::is_same_v<S, Grant>) {
     f(1, t.to), f(2, t.seq), f(3, t.kind), f(4, t.number), f(5, t.revision), f(6, t.term), f(7, t.live);
-    f(8, t.place), f(9, t.parts);
+    f(8, t.place), f(9, t.parts), f(10, t.level);
   } else if constexpr (std::is_same_v<S, Expiry>) {
     f(1, t.member), f(2, t.number);
   } else if constexpr (std::is_same_v<S, Entry>) {
-    f(1, t.terms), f(2, t.expired), f(3, t.asks);
+    f(1, t.terms), f(2, t.expired), f(3, t.asks), f(4, t.level);
   } else if constexpr (std::is_same_v<S, Member>) {
     f(1, t.seq), f(2, t.number), f(3, t.acked), f(4, t.superseded), f(5, t.term), f(6, t.demand);
     f(7, t.granted), f(8, t.held), f(9, t.unacked);
   } else if constexpr (std::is_same_v<S, MemberEntry>) {
     f(1, t.key), f(2, t.member);
   } else if constexpr (std::is_same_v<S, LedgerState>) {
-    f(1, t.terms), f(2, t.members);
+    f(1, t.terms), f(2, t.members), f(3, t.level);
   } else if constexpr (std::is_same_v<S, Hello>) {
-    f(1, t.version), f(2, t.fleet), f(3, t.number), f(4, t.from), f(5, t.keeper);
+    f(1, t.version), f(2, t.fleet), f(3, t.number), f(4, t.from), f(5, t.keeper), f(6, t.begun);
   } else if constexpr (std::is_same_v<S, GrantTold>) {
     f(1, t.grant), f(2, t.terms);
   } else if constexpr (std::is_same_v<S, Elsewhere>) {
@@ -234,7 +235,7 @@
 }
 
 std::string write_ledger(const budget::Ledger& ledger) {
-  LedgerState state{ledger.terms(), {}};
+  LedgerState state{ledger.terms(), {}, ledger.level()};
   for (const auto& [key, member] : ledger.members()) state.members.push_back({key, member});
   return bytes_of(state);
 }
@@ -246,7 +247,7 @@
   std::map<MemberKey, Member> members;
   for (MemberEntry& m : state->members) members.emplace(std::move(m.key), std::move(m.member));
   Ledger out;
-  out.restore(std::move(state->terms), std::move(members));
+  out.restore(std::move(state->terms), std::move(members), state->level);
   return out;
 }
 
--- a/tests/budget/fleet_world.h
+++ b/tests/budget/fleet_world.h
@@ -22,6 +22,7 @@
     keepers_.assign(keepers, KeeperNode(terms_));
     for (std::size_t i = 0; i < members; ++i) start(i);
     elect(0, false);
+    pass(Terms::surely_over_after(terms_.term, terms_.drift_ppm));  // a new log waits for what may be out
   }
 
   std::size_t members() const { return nodes_.size(); }
@@ -49,6 +50,12 @@
     keepers_[k].term = ++term_;
     turn(k);
   }
+  // All keepers lose their disks at once, and begin another log; holders go on.
+  void lose_disks() {
+    for (KeeperNode& keeper : keepers_) keeper = KeeperNode(terms_);
+    agreed_.clear();
+    elect(leader_, false);
+  }
   // Who was deposed learns of it, and all of the log.
   bool learn() {
     bool any = false;
--- a/tests/budget/mutants.sh
+++ b/tests/budget/mutants.sh
@@ -25,6 +25,7 @@
   "fleet/keeper_role.cpp|log.term() != term_|false|a leadership lost and won again goes on with the old terms"
   "fleet/keeper_role.cpp|std::exchange(news_, false)|!granted_.empty()|an expiry is said again and again"
   "fleet/keeper_role.cpp|grant.seq > it->second.seq|grant.seq != it->second.seq|a slow round is never answered"
+  "budget/arbiter.cpp|if (now < not_before_) return std::nullopt;||a new log takes nothing for out"
   "budget/terms.h|allowances[a].whole - largest * allowances[a].cut_off|allowances[a].whole|cut-off parts are not set aside"
 )
 
--- a/tests/budget/sum_test.cpp
+++ b/tests/budget/sum_test.cpp
@@ -32,6 +32,7 @@
                             : world.start(i, clock_rate(random));
     case 5:
       if (draw(random, 2) == 0) world.learn();
+      if (draw(random, 60) == 0) return world.lose_disks();
       return draw(random, 4) > 0
                  ? world.use(i)
                  : world.elect(draw(random, world.keepers()), draw(random, 2) == 0, clock_rate(random));
--- a/tests/keeper/memory_store.h
+++ b/tests/keeper/memory_store.h
@@ -22,6 +22,9 @@
   explicit MemoryStore(Disk& disk) : disk_(disk) {}
 
   Stored load() override { return disk_.stored; }
+  void set_owner(const StoredOwner& owner) override {
+    asked_.emplace_back([owner](Stored& s) { s.owner = owner; });
+  }
   void set_term(std::uint64_t term) override {
     asked_.emplace_back([term](Stored& s) { s.term = term, s.vote = 0; });
   }
