--- a/src/budget/arbiter.cpp
+++ b/src/budget/arbiter.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 constexpr std::size_t kWaitingMost = 8192;  // asks of members and of strangers
-constexpr Parts kRampSteps = 10;
-constexpr std::size_t kEntryMost = 512;  // asks agreed on in one step: bounds an entry's size
+constexpr std::size_t kEntryMost = 512;     // asks agreed on in one step: bounds an entry's size
 
 }  // namespace
 
@@ -16,20 +15,17 @@
   leads_ = true;
   on_its_way_ = false;
   running_.clear();
-  before_.clear();
-  for (const auto& [key, member] : ledger.members()) {
+  for (const auto& [key, member] : ledger.members())
     running_[key] = {member.number, now + Terms::surely_over_after(member.term, ledger.terms().drift_ppm)};
-    before_.insert(key);
-  }
-  ramping_ = ledger.level() < kFullLevel;
-  step_at_ = now + ledger.terms().ramp / kRampSteps;
+  step_at_.reset();
   not_before_ = 0;
   if (ledger.terms().revision == 0 && wanted_)
     not_before_ = now + Terms::surely_over_after(wanted_->term, wanted_->drift_ppm);
 }
 
 void Arbiter::follow() {
-  leads_ = on_its_way_ = ramping_ = false;
+  leads_ = on_its_way_ = false;
+  step_at_.reset();
   not_before_ = 0;
   asks_.clear();
   running_.clear();
@@ -56,31 +52,24 @@
       asks_.erase(asks_.begin());
     }
   }
-  if (const auto level = next_level(now, ledger, out)) out.level.push_back(*level);
+  if (const auto level = next_level(now, ledger)) out.level.push_back(*level);
   if (out.empty()) return std::nullopt;
   on_its_way_ = true;
   return out;
 }
 
-// Steps of even size and length, each agreed on as all else is.
-std::optional<Parts> Arbiter::next_level(TimeUs now, const Ledger& ledger, const Entry& entry) {
-  const TimeUs ramp = entry.terms.empty() ? ledger.terms().ramp : entry.terms.front().ramp;
-  for (const Ask& ask : entry.asks)
-    if (before_.contains(ask.from)) before_.clear();  // one lives: its power was not lost
-  const auto was_before = [this](const Expiry& one) { return before_.contains(one.member); };
-  const bool new_log = ledger.terms().revision == 0 && !entry.terms.empty();
-  const bool all_lost = std::any_of(entry.expired.begin(), entry.expired.end(), was_before);
-  if (ramp > 0 && (new_log || all_lost) && !ramping_) {
-    ramping_ = true;
-    before_.clear();
-    step_at_ = now + ramp / kRampSteps;
-    return kFullLevel / kRampSteps;
+// The ramp's next step, agreed on as all else is; the ledger itself falls to the first.
+std::optional<Parts> Arbiter::next_level(TimeUs now, const Ledger& ledger) {
+  const TimeUs step = ledger.terms().ramp / kRampSteps;
+  if (ledger.level() == kFullLevel) {
+    step_at_.reset();
+    return std::nullopt;
   }
-  if (!ramping_ || (ramp > 0 && now < step_at_)) return std::nullopt;
-  step_at_ = now + ramp / kRampSteps;
-  const Parts level = ramp > 0 ? std::min(ledger.level() + kFullLevel / kRampSteps, kFullLevel) : kFullLevel;
-  ramping_ = level < kFullLevel;
-  return level;
+  if (!step_at_) step_at_ = now + step;
+  if (now < *step_at_) return std::nullopt;
+  step_at_ = now + step;
+  if (step == 0) return kFullLevel;  // the ramp was taken out of the file meanwhile
+  return std::min(ledger.level() + kFullLevel / kRampSteps, kFullLevel);
 }
 
 void Arbiter::applied(TimeUs now, const Ledger& ledger, const std::vector<Grant>& grants) {
@@ -101,7 +90,7 @@
   std::optional<TimeUs> due;
   if (!leads_ || on_its_way_) return due;  // what is on its way comes through first
   if (not_before_ > 0) due = not_before_;
-  if (ramping_) due = std::min(due.value_or(step_at_), step_at_);
+  if (step_at_) due = std::min(due.value_or(*step_at_), *step_at_);
   for (const auto& [key, running] : running_) due = std::min(due.value_or(running.over_at), running.over_at);
   return due;
 }
--- a/src/budget/arbiter.h
+++ b/src/budget/arbiter.h
@@ -6,13 +6,11 @@
 // none of them outlives its count here.
 //
 // A log without terms is new: the one before it may be lost with its disks, and its leases may be out. Their
-// longest term is waited out before anything is granted. Where all members of before are gone without one of
-// them asking again, the fleet has been without power: the whole is let out again by a ramp.
+// longest term is waited out before anything is granted.
 #pragma once
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "budget/ledger.h"
@@ -46,17 +44,15 @@
     TimeUs over_at = 0;
   };
 
-  std::optional<Parts> next_level(TimeUs now, const Ledger& ledger, const Entry& entry);
+  std::optional<Parts> next_level(TimeUs now, const Ledger& ledger);
 
   bool leads_ = false;
   bool on_its_way_ = false;
   std::optional<Terms> wanted_;
   std::map<MemberKey, Ask> asks_;
   std::map<MemberKey, Running> running_;
-  TimeUs not_before_ = 0;       // of the first terms of a new log
-  std::set<MemberKey> before_;  // members when it began to lead, of whom nobody has asked since
-  bool ramping_ = false;
-  TimeUs step_at_ = 0;  // of the ramp
+  TimeUs not_before_ = 0;          // of the first terms of a new log
+  std::optional<TimeUs> step_at_;  // of the ramp
 };
 
 }  // namespace orchidgw::budget
--- a/src/budget/ledger.cpp
+++ b/src/budget/ledger.cpp
@@ -20,19 +20,24 @@
 }  // namespace
 
 std::vector<Grant> Ledger::apply(const Entry& entry) {
+  bool let_go = terms_.revision == 0;  // of a new log nothing is leased
   for (const Terms& terms : entry.terms) take(terms);
   for (const Parts level : entry.level) level_ = std::clamp<Parts>(level, 1, kFullLevel);
+  const std::size_t members = members_.size();
   for (const Expiry& expiry : entry.expired) expire(expiry);
+  let_go = let_go || members_.size() < members;
   std::vector<Grant> out;
   std::vector<const Ask*> good;
   for (const Ask& ask : entry.asks) {
     Grant refusal;
+    let_go = let_go || (ask.leaving && members_.contains(ask.from));
     if (note(ask, refusal)) {
       good.push_back(&ask);
     } else if (refusal.kind != Grant::Kind::kLease) {
       out.push_back(std::move(refusal));
     }
   }
+  if (let_go) fall();
   if (good.empty()) return out;
   const Division division = divide_anew();
   std::vector<Parts> left(terms_.allowances.size());
@@ -123,6 +128,22 @@
   return true;
 }
 
+// Where hardly more than the reserve is leased any more the fleet was gone, and its engines have idled for a
+// term: the ramp begins. What newcomers hold by then is within the first level, lest it be passed from the
+// start.
+void Ledger::fall() {
+  if (terms_.ramp == 0) return;
+  Parts least = kFullLevel / kRampSteps;
+  for (std::size_t a = 0; a < terms_.allowances.size(); ++a) {
+    const Parts shared = std::max<Parts>(terms_.shared(a), 1);
+    const Parts out = outstanding(a);
+    if (out > shared / kRampSteps + terms_.allowances[a].reserve) return;
+    least =
+        std::max(least, static_cast<Parts>((static_cast<WideParts>(out) * kFullLevel + shared - 1) / shared));
+  }
+  level_ = std::min(level_, least);
+}
+
 Ledger::Division Ledger::divide_anew() const {
   Division out;
   std::vector<const Member*> states;
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -58,6 +58,7 @@
     std::vector<const MemberKey*> members;
     std::vector<std::vector<Parts>> targets;
   };
+  void fall();
   Division divide_anew() const;
   Grant grant(const Ask& ask, const Division& division, std::vector<Parts>& free);
   Parts next_part(std::size_t a, const Member& member, Parts target, Parts free) const;
--- a/src/budget/terms.h
+++ b/src/budget/terms.h
@@ -15,6 +15,7 @@
 __extension__ typedef __int128 WideParts;  // products of parts, exact
 
 inline constexpr Parts kFullLevel = 1'000'000;
+inline constexpr Parts kRampSteps = 10;
 
 // One allowance and its whole. largest x cut_off + reserve <= whole.
 struct Allowance {
@@ -32,8 +33,9 @@
   TimeUs term = 0;             // of a lease, from when its holder asked for it
   std::int64_t drift_ppm = 0;  // any two clocks run apart by this at the most (parts per million)
   std::vector<Allowance> allowances;
-  // After all members were lost at once, what leases sum to rises to the whole over this time: engines are
-  // cold then, and meet one sum, however many controllers there are. 0: at once.
+  // Once next to nothing of the whole is leased (all members were lost at once), what leases sum to rises to
+  // it over this time: engines are cold then, and meet one sum, however many controllers there are. 0: at
+  // once.
   TimeUs ramp = 0;
   bool operator==(const Terms&) const = default;
 
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -143,6 +143,8 @@
   if (auto* ask = std::get_if<budget::Ask>(&message)) {
     if (keeper_) keeper_->post(KeeperThread::Asked{link, std::move(*ask)});
   } else if (auto* log = std::get_if<fleet::LogMessage>(&message)) {
+    // Known at once: guards against a greeting that is sent before the keeper's thread has looked at this.
+    if (keeps_ && begun_.insert(log->from).second) port_.knows({begun_.begin(), begun_.end()});
     if (keeper_) keeper_->post(std::move(*log));
   } else {
     told(message);
@@ -174,7 +176,8 @@
   keeps_ = out.keeps;
   keeper_heard_ = keeper_heard_ || keeps_;
   waits_for_ = std::move(out.waits_for);
-  port_.knows(std::move(out.begun));
+  begun_.insert(out.begun.begin(), out.begun.end());
+  port_.knows({begun_.begin(), begun_.end()});
   for (const fleet::LogMessage& message : out.to_keepers) port_.send(message.to, message);
   for (const auto& reply : out.replies) {
     if (reply.link == 0) {
--- a/tests/keeper/fleet_simulation.h
+++ b/tests/keeper/fleet_simulation.h
@@ -60,6 +60,13 @@
     options.kept_behind = 8;
     at.keeper = std::make_unique<keeper::Keeper>(options, *at.store, *at.role, now_);
   }
+  // Of all: what was committed is there, what was under way is not.
+  void power_off() {
+    for (std::size_t k = 0; k < keepers_.size(); ++k) kill_keeper(k);
+    for (std::size_t m = 0; m < members_.size(); ++m) kill_member(m);
+    flights_.clear();
+  }
+  const budget::Ledger& ledger(std::size_t k) const { return keepers_[k].role->state(); }
   void kill_member(std::size_t m) { members_[m].role.reset(); }
   void start_member(std::size_t m) {
     std::vector<KeeperId> ids;
