store: sums over records, a cut file is named; orchidgw store inspect, verify, export

A store cut short would end the process at a page that is not there (its pages are mapped); a flipped byte was taken for good. Now each record has a CRC-32 (Boost), the file is held against what was written, an owner and a format are named in one line. Test: Store.DamageIsSaidInALine, a list of places.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -77,6 +77,16 @@
   CLI::App* fleet_status = fleet->add_subcommand(
       "status", "print its lease and, of a keeper, all members and sums, through the administration socket");
   fleet->require_subcommand(1);
+  CLI::App* store = app.add_subcommand("store", "a keeper's store, while no process has it; changes nothing");
+  const auto add_store = [&](const char* name, const char* what) {
+    CLI::App* one = store->add_subcommand(name, what);
+    one->add_option("folder", out.folder, "the store's folder")->required();
+    return one;
+  };
+  add_store("inspect", "print whose it is, its term, vote and log, and what was leased by it");
+  const CLI::App* verify = add_store("verify", "read all of it, and say what can't be read");
+  const CLI::App* exported = add_store("export", "print each entry of its log on a line");
+  store->require_subcommand(1);
   CLI::App* status =
       app.add_subcommand("status", "print levels and counts, through the administration socket");
   CLI::App* version = app.add_subcommand("version", "print the version");
@@ -91,6 +101,9 @@
   if (replay->parsed()) out.command = CommandLine::Command::kReplay;
   if (set->parsed()) out.command = CommandLine::Command::kLevelSet;
   if (fleet_status->parsed()) out.command = CommandLine::Command::kFleetStatus;
+  if (store->parsed()) out.command = CommandLine::Command::kStore;
+  if (verify->parsed()) out.store = StoreCommand::kVerify;
+  if (exported->parsed()) out.store = StoreCommand::kExport;
   if (status->parsed()) out.command = CommandLine::Command::kStatus;
   if (version->parsed()) out.command = CommandLine::Command::kVersion;
   return out;
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "cli/store_command.h"
 #include "configuration/configuration.h"
 
 namespace orchidgw::cli {
@@ -21,13 +22,25 @@
 };
 
 struct CommandLine {
-  enum class Command { kServe, kCheck, kExplain, kReplay, kStatus, kFleetStatus, kLevelSet, kVersion };
+  enum class Command {
+    kServe,
+    kCheck,
+    kExplain,
+    kReplay,
+    kStatus,
+    kFleetStatus,
+    kLevelSet,
+    kStore,
+    kVersion
+  };
   Command command = Command::kServe;
   configuration::Sources sources;
   Explain explain;
   std::string signals;  // of kReplay: the recording
   std::string level;    // of kLevelSet
   std::int64_t hold_s = 0;
+  StoreCommand store = StoreCommand::kInspect;  // of kStore, as is the one below
+  std::string folder;
 };
 
 // Nothing where the process is to end with `exit_code`: help was asked for, or the line is wrong, and it was
--- /dev/null
+++ b/src/cli/store_command.cpp
@@ -0,0 +1,107 @@
+#include "cli/store_command.h"
+
+#include <optional>
+
+#include "budget/ledger.h"
+#include "cli/command_line.h"
+#include "store/lmdb_store.h"
+#include "thrift/fleet_codec.h"
+
+namespace orchidgw::cli {
+namespace {
+
+constexpr std::uint32_t kCommand = 1;  // entries that carry budgets; others are the log's own
+constexpr std::size_t kNoMatter = 1024 * 1024;
+
+// What the log leads to, as a keeper would have it after its start but for entries that were not agreed on.
+struct Played {
+  budget::Ledger ledger;
+  std::string fault;
+};
+
+Played play(const store::Stored& stored) {
+  Played out;
+  if (stored.snapshot) {
+    auto ledger = thrift::read_ledger(stored.snapshot->data);
+    if (!ledger) {
+      out.fault = "the snapshot at " + std::to_string(stored.snapshot->index) + " can't be read";
+      return out;
+    }
+    out.ledger = std::move(*ledger);
+  }
+  std::uint64_t index = stored.first;
+  for (const store::StoredEntry& one : stored.entries) {
+    const std::uint64_t at = index++;
+    if (one.type != kCommand) continue;
+    const auto entry = thrift::read_entry(one.data);
+    if (!entry) {
+      out.fault = "entry " + std::to_string(at) + " can't be read";
+      return out;
+    }
+    if (!stored.snapshot || at > stored.snapshot->index) out.ledger.apply(*entry);
+  }
+  return out;
+}
+
+void inspect(const store::Stored& stored, const budget::Ledger& ledger, std::ostream& out) {
+  if (stored.owner) {
+    out << "fleet " << stored.owner->fleet << ' ' << stored.owner->number << " keeper "
+        << stored.owner->keeper << " knows_begun";
+    for (const std::uint32_t one : stored.owner->begun) out << ' ' << one;
+    out << '\n';
+  }
+  out << "term " << stored.term << " vote " << stored.vote << " snapshot "
+      << (stored.snapshot ? stored.snapshot->index : 0) << " entries " << stored.first << " to "
+      << stored.first + stored.entries.size() - 1 << '\n';
+  out << "revision " << ledger.terms().revision << " members " << ledger.members().size() << " level_percent "
+      << ledger.level() * 100 / budget::kFullLevel << '\n';
+  for (std::size_t a = 0; a < ledger.terms().allowances.size(); ++a)
+    out << "allowance " << ledger.terms().allowances[a].name << " whole "
+        << ledger.terms().allowances[a].whole << " leased " << ledger.outstanding(a) << '\n';
+}
+
+void list(const store::Stored& stored, std::ostream& out) {
+  std::uint64_t index = stored.first;
+  for (const store::StoredEntry& one : stored.entries) {
+    out << "entry " << index++ << " term " << one.term;
+    const auto entry = one.type == kCommand ? thrift::read_entry(one.data) : std::nullopt;
+    if (!entry) out << " type " << one.type;
+    if (entry) {
+      for (const budget::Terms& terms : entry->terms) out << " terms " << terms.revision;
+      for (const budget::Parts level : entry->level) out << " level " << level;
+      for (const budget::Expiry& over : entry->expired)
+        out << " over " << over.member.name << '/' << over.member.incarnation << " lease " << over.number;
+      for (const budget::Ask& ask : entry->asks)
+        out << " ask " << ask.from.name << '/' << ask.from.incarnation << " seq " << ask.seq << " acked "
+            << ask.acked << (ask.leaving ? " leaving" : "");
+    }
+    out << '\n';
+  }
+}
+
+}  // namespace
+
+int run_store(StoreCommand command, const std::string& folder, std::ostream& out, std::ostream& err) {
+  store::Stored stored;
+  try {
+    store::LmdbStore store(folder, kNoMatter, store::LmdbStore::Open::kRead);
+    stored = store.load();
+  } catch (const store::StoreError& e) {
+    const std::string what = e.what();
+    err << "orchidgw: " << (what.starts_with(folder) ? what : folder + ": " + what) << '\n';
+    return kBad;
+  }
+  const Played played = play(stored);
+  if (!played.fault.empty()) {
+    err << "orchidgw: " << folder << ": " << played.fault << '\n';
+    return kBad;
+  }
+  if (command == StoreCommand::kInspect) inspect(stored, played.ledger, out);
+  if (command == StoreCommand::kExport) list(stored, out);
+  if (command == StoreCommand::kVerify)
+    out << "good: " << stored.entries.size() << " entries" << (stored.snapshot ? " and a snapshot" : "")
+        << '\n';
+  return kGood;
+}
+
+}  // namespace orchidgw::cli
--- /dev/null
+++ b/src/cli/store_command.h
@@ -0,0 +1,18 @@
+// What on-call staff see of a keeper's store while no process has it: nothing is changed.
+#pragma once
+
+#include <ostream>
+#include <string>
+
+namespace orchidgw::cli {
+
+enum class StoreCommand {
+  kInspect,  // whose it is, its term, vote and log, what was leased by it
+  kVerify,   // all that was written is there and can be read
+  kExport    // each entry of the log on a line of its own
+};
+
+// Exit codes as of the other commands; a fault is one line on `err`.
+int run_store(StoreCommand command, const std::string& folder, std::ostream& out, std::ostream& err);
+
+}  // namespace orchidgw::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -85,6 +85,8 @@
     case Command::kLevelSet:
       return ask(line.sources.admin,
                  {orchidgw::admin::AdminCommand::Kind::kLevelSet, line.level, line.hold_s * 1'000'000});
+    case Command::kStore:
+      return orchidgw::cli::run_store(line.store, line.folder, std::cout, std::cerr);
     case Command::kVersion:
       return orchidgw::cli::run_version(std::cout);
   }
--- a/src/store/lmdb_store.cpp
+++ b/src/store/lmdb_store.cpp
@@ -3,8 +3,10 @@
 #include <fcntl.h>
 #include <lmdb.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
+#include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -12,7 +14,7 @@
 namespace orchidgw::store {
 namespace {
 
-constexpr std::uint64_t kFormat = 1;
+constexpr std::uint64_t kFormat = 2;  // 1: records without their sums
 constexpr unsigned kFileMode = 0600;
 
 // Keys of the table "meta"; "log" has the entries by index.
@@ -60,6 +62,19 @@
   out += text;
 }
 
+// LMDB has no sums of its own: guards against a disk that gives back other bytes than it took.
+std::uint64_t sum_of(std::string_view bytes) {
+  boost::crc_32_type sum;
+  sum.process_bytes(bytes.data(), bytes.size());
+  return sum.checksum();
+}
+
+std::string with_sum(const std::string& record) {
+  std::string out;
+  put(out, sum_of(record));
+  return out + record;
+}
+
 std::string record_of(const StoredEntry& entry) {
   std::string out;
   put(out, entry.term);
@@ -137,6 +152,7 @@
   MDB_dbi meta = 0;
   MDB_dbi log = 0;
   int lock = -1;
+  bool sums = true;  // records carry them
   std::vector<std::function<void(MDB_txn*)>> asked;
 
   ~Impl() {
@@ -156,6 +172,19 @@
     put_meta(txn, key, bytes);
   }
 
+  std::string as_kept(const std::string& record) const { return sums ? with_sum(record) : record; }
+  std::string_view checked(std::string_view kept, const char* what) const {
+    if (!sums) return kept;
+    const std::uint64_t sum = take(kept);
+    if (sum != sum_of(kept)) throw StoreError(std::string(what) + ": a record is damaged", false);
+    return kept;
+  }
+
+  std::optional<std::string_view> get_record(MDB_txn* txn, const char* key) const {
+    const auto kept = get_meta(txn, key);
+    return kept ? std::optional(checked(*kept, key)) : std::nullopt;
+  }
+
   std::optional<std::string_view> get_meta(MDB_txn* txn, const char* key) const {
     MDB_val k = value_of(key);
     MDB_val v{};
@@ -190,8 +219,12 @@
   }
 };
 
-LmdbStore::LmdbStore(const std::string& folder, std::size_t bytes_most) : impl_(std::make_unique<Impl>()) {
+LmdbStore::LmdbStore(const std::string& folder, std::size_t bytes_most, Open open)
+    : impl_(std::make_unique<Impl>()) {
   const auto fail = [&folder](const std::string& why) { throw StoreError(folder + ": " + why, false); };
+  const bool reads = open == Open::kRead;
+  const std::string file = folder + "/data.mdb";
+  if (reads && ::access(file.c_str(), R_OK) != 0) fail(std::strerror(errno));
   impl_->lock = ::open((folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
   if (impl_->lock < 0) fail(std::strerror(errno));
   // Guards against two processes that vote as one keeper.
@@ -199,15 +232,33 @@
   check(mdb_env_create(&impl_->env), "environment");
   check(mdb_env_set_maxdbs(impl_->env, 2), "environment");
   check(mdb_env_set_mapsize(impl_->env, bytes_most), "environment");
-  const int opened = mdb_env_open(impl_->env, folder.c_str(), MDB_NOTLS | MDB_NOLOCK, kFileMode);
+  const unsigned flags = MDB_NOTLS | MDB_NOLOCK | (reads ? MDB_RDONLY : 0U);
+  const int opened = mdb_env_open(impl_->env, folder.c_str(), flags, kFileMode);
   if (opened != 0) fail(mdb_strerror(opened));
-  Transaction txn(impl_->env, 0);
-  check(mdb_dbi_open(txn.get(), "meta", MDB_CREATE, &impl_->meta), "meta");
-  check(mdb_dbi_open(txn.get(), "log", MDB_CREATE | MDB_INTEGERKEY, &impl_->log), "log");
-  const std::uint64_t format = impl_->get_number(txn.get(), kKeyFormat);
-  if (format > kFormat) fail("it was written by a newer version (format " + std::to_string(format) + ")");
-  if (format == 0) impl_->put_number(txn.get(), kKeyFormat, kFormat);
-  txn.commit();
+  // Guards against a file that was cut: its pages are mapped, and reading one that is not there ends the
+  // process.
+  MDB_envinfo info{};
+  MDB_stat pages{};
+  struct stat status {};
+  check(mdb_env_info(impl_->env, &info), "environment");
+  check(mdb_env_stat(impl_->env, &pages), "environment");
+  if (::stat(file.c_str(), &status) != 0) fail(std::strerror(errno));
+  if (static_cast<std::uint64_t>(status.st_size) < (info.me_last_pgno + 1) * pages.ms_psize)
+    fail("the file is shorter than what was written");
+  try {
+    Transaction txn(impl_->env, reads ? MDB_RDONLY : 0);
+    const unsigned create = reads ? 0 : MDB_CREATE;
+    check(mdb_dbi_open(txn.get(), "meta", create, &impl_->meta), "meta");
+    check(mdb_dbi_open(txn.get(), "log", create | MDB_INTEGERKEY, &impl_->log), "log");
+    const std::uint64_t format = impl_->get_number(txn.get(), kKeyFormat);
+    if (format > kFormat)
+      throw StoreError("it was written by a newer version (format " + std::to_string(format) + ")", false);
+    if (format == 0 && !reads) impl_->put_number(txn.get(), kKeyFormat, kFormat);
+    impl_->sums = format != 1;
+    txn.commit();
+  } catch (const StoreError& e) {
+    throw StoreError(folder + ": " + e.what(), e.full());
+  }
 }
 
 LmdbStore::~LmdbStore() = default;
@@ -215,10 +266,10 @@
 Stored LmdbStore::load() {
   const Transaction txn(impl_->env, MDB_RDONLY);
   Stored out;
-  if (const auto record = impl_->get_meta(txn.get(), kKeyOwner)) out.owner = owner_of(*record);
+  if (const auto record = impl_->get_record(txn.get(), kKeyOwner)) out.owner = owner_of(*record);
   out.term = impl_->get_number(txn.get(), kKeyTerm);
   out.vote = impl_->get_number(txn.get(), kKeyVote);
-  if (const auto record = impl_->get_meta(txn.get(), kKeySnapshot)) out.snapshot = snapshot_of(*record);
+  if (const auto record = impl_->get_record(txn.get(), kKeySnapshot)) out.snapshot = snapshot_of(*record);
   MDB_cursor* cursor = nullptr;
   check(mdb_cursor_open(txn.get(), impl_->log, &cursor), "log");
   const std::unique_ptr<MDB_cursor, void (*)(MDB_cursor*)> closed(cursor, mdb_cursor_close);
@@ -231,7 +282,7 @@
     std::memcpy(&index, key.mv_data, sizeof index);
     if (out.entries.empty()) out.first = next = index;
     if (index != next++) throw StoreError("an entry of the log is missing", false);
-    out.entries.push_back(entry_of(bytes_of(value)));
+    out.entries.push_back(entry_of(impl_->checked(bytes_of(value), "log")));
   }
   if (code != MDB_NOTFOUND) check(code, "log");
   if (out.entries.empty()) out.first = out.snapshot ? out.snapshot->index + 1 : 1;
@@ -240,7 +291,7 @@
 
 void LmdbStore::set_owner(const StoredOwner& owner) {
   impl_->asked.emplace_back(
-      [this, owner](MDB_txn* txn) { impl_->put_meta(txn, kKeyOwner, record_of(owner)); });
+      [this, owner](MDB_txn* txn) { impl_->put_meta(txn, kKeyOwner, impl_->as_kept(record_of(owner))); });
 }
 
 void LmdbStore::set_term(std::uint64_t term) {
@@ -258,7 +309,7 @@
   impl_->asked.emplace_back([this, first, entries = std::move(entries)](MDB_txn* txn) {
     std::uint64_t index = first;
     for (const StoredEntry& entry : entries) {
-      const std::string record = record_of(entry);
+      const std::string record = impl_->as_kept(record_of(entry));
       MDB_val key{sizeof index, &index};
       MDB_val value = value_of(record);
       check(mdb_put(txn, impl_->log, &key, &value, 0), "log");
@@ -273,14 +324,14 @@
 
 void LmdbStore::put_snapshot(StoredSnapshot snapshot, std::uint64_t keep_after) {
   impl_->asked.emplace_back([this, snapshot = std::move(snapshot), keep_after](MDB_txn* txn) {
-    impl_->put_meta(txn, kKeySnapshot, record_of(snapshot));
+    impl_->put_meta(txn, kKeySnapshot, impl_->as_kept(record_of(snapshot)));
     impl_->erase(txn, 0, keep_after);
   });
 }
 
 std::optional<StoredSnapshot> LmdbStore::snapshot() {
   const Transaction txn(impl_->env, MDB_RDONLY);
-  const auto record = impl_->get_meta(txn.get(), kKeySnapshot);
+  const auto record = impl_->get_record(txn.get(), kKeySnapshot);
   return record ? std::optional(snapshot_of(*record)) : std::nullopt;
 }
 
--- a/src/store/lmdb_store.h
+++ b/src/store/lmdb_store.h
@@ -12,8 +12,10 @@
 
 class LmdbStore final : public LogStore {
  public:
+  enum class Open { kWrite, kRead };  // kRead changes nothing, and finds nothing where there is no store
+
   // `folder` must be there. Throws StoreError naming it and the reason; two processes can't have it at once.
-  LmdbStore(const std::string& folder, std::size_t bytes_most);
+  LmdbStore(const std::string& folder, std::size_t bytes_most, Open open = Open::kWrite);
   ~LmdbStore() override;
 
   Stored load() override;
--- a/tests/keeper/store_test.cpp
+++ b/tests/keeper/store_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
+#include <fstream>
 
 #include "store/lmdb_store.h"
 
@@ -92,5 +93,48 @@
   EXPECT_THROW(LmdbStore("/nowhere/at/all", kBytes), StoreError);
 }
 
+void keep_something(const std::string& folder) {
+  LmdbStore store(folder, 4 * 1024 * 1024);
+  store.set_owner({"f", 7, 2, {1, 2}});
+  store.set_term(3);
+  for (std::uint64_t i = 1; i <= 50; ++i) store.append(i, {{3, 1, "a record of entry " + std::to_string(i)}});
+  store.commit();
+}
+
+TEST_F(Store, KnowsWhoseItIs) {
+  keep_something(folder);
+  EXPECT_EQ(LmdbStore(folder, kBytes).load().owner, (StoredOwner{"f", 7, 2, {1, 2}}));
+}
+
+// Each place of a list is damaged in turn: one line naming the folder, or the folder comes before it; no
+// process ends by it.
+TEST_F(Store, DamageIsSaidInALine) {
+  keep_something(folder);
+  const std::string file = folder + "/data.mdb";
+  std::string good(std::filesystem::file_size(file), '\0');
+  std::ifstream(file, std::ios::binary).read(good.data(), static_cast<std::streamsize>(good.size()));
+  constexpr std::size_t kPage = 4096;
+  std::vector<std::string> damaged = {good.substr(0, 1), good.substr(0, kPage),
+                                      good.substr(0, 2 * kPage + 17), good.substr(0, good.size() - kPage)};
+  damaged.push_back(good);
+  std::fill_n(damaged.back().begin(), 2 * kPage, '\xff');  // both roots
+  for (std::size_t at = good.find("a record of entry "); at != std::string::npos;
+       at = good.find("a record of entry ", at + 400)) {
+    damaged.push_back(good);
+    damaged.back()[at + 3] ^= 0x10;
+  }
+  ASSERT_GT(damaged.size(), 7U);
+  for (std::size_t n = 0; n < damaged.size(); ++n) {
+    std::ofstream(file, std::ios::binary | std::ios::trunc) << damaged[n];
+    try {
+      LmdbStore store(folder, kBytes);
+      static_cast<void>(store.load());
+      ADD_FAILURE() << "taken for good: " << n;
+    } catch (const StoreError& e) {
+      EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace orchidgw::store
