recovery: stages by what is due; power losses and lost disks of real processes

Seen: a controller that held a part of the reserve was shown as in full service while leases of before were waited out. The grant says whether its holder has all it is due, and a stage falls back only with the lease or the ramp.

--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -79,6 +79,7 @@
   ends_at_ = *asked + grant.term;
   stopped_ = false;
   level_ = grant.level;
+  settled_ = grant.settled;
   live_ = std::max(grant.live, 1);
   place_ = std::clamp(grant.place, 0, live_ - 1);
   for (std::size_t a = 0; a < parts_.size(); ++a) {
--- a/src/budget/holder.h
+++ b/src/budget/holder.h
@@ -48,7 +48,8 @@
   Parts part(std::size_t a) const { return parts_[a]; }  // of the last lease, whether over or not
   int live() const { return live_; }
   int place() const { return place_; }
-  Parts level() const { return level_; }  // of the fleet's ramp
+  bool settled() const { return settled_; }  // it has all that it is due
+  Parts level() const { return level_; }     // of the fleet's ramp
 
  private:
   void resize();
@@ -67,6 +68,7 @@
   int live_ = 1;
   int place_ = 0;
   Parts level_ = kFullLevel;
+  bool settled_ = false;
   bool leaving_ = false;
   bool left_ = false;
   bool superseded_ = false;
--- a/src/budget/ledger.cpp
+++ b/src/budget/ledger.cpp
@@ -199,6 +199,7 @@
   out.revision = terms_.revision;
   out.term = terms_.term;
   out.level = level_;
+  out.settled = true;
   m.term = std::max(m.term, terms_.term);
   const auto at = std::lower_bound(division.members.begin(), division.members.end(), ask.from,
                                    [](const MemberKey* one, const MemberKey& key) { return *one < key; });
@@ -209,6 +210,8 @@
     const Parts before = m.outstanding(a);
     Parts part = next_part(a, m, division.targets[a][place], free[a]);
     if (ask.revision != terms_.revision) part = std::min(part, m.granted[a]);
+    const Parts due = division.targets[a][place];
+    out.settled = out.settled && part >= due - due / kHysteresis;
     m.granted[a] = part;
     m.unacked[a] = std::max(m.unacked[a], part);
     free[a] -= m.outstanding(a) - before;
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -211,10 +211,9 @@
   facts.keeper_heard = keeper_heard_;
   facts.leader_known = role_.leader_known();
   facts.leased = holder.leased(now);
-  for (std::size_t a = 0; a < holder.terms().allowances.size(); ++a)
-    facts.any_part = facts.any_part || holder.part(a) > 0;
+  facts.settled = holder.settled();
   facts.level = holder.level();
-  const recovery::Stage stage = recovery::stage_of(facts);
+  const recovery::Stage stage = recovery::next_stage(stage_.value_or(recovery::Stage::kStore), facts);
   if (stage_ == stage) return;
   stage_ = stage;
   context_.log.write(log::Level::kInfo, log::Component::kFleet,
--- a/src/recovery/stages.cpp
+++ b/src/recovery/stages.cpp
@@ -22,15 +22,16 @@
   return "";
 }
 
-Stage stage_of(const Facts& facts) {
+Stage next_stage(Stage before, const Facts& facts) {
   // A lease tells that all before it is there, whatever this controller's own disk does.
   if (!facts.leased) {
     if (facts.keeps && !facts.store_ok) return Stage::kStore;
     if (!facts.keeper_heard) return Stage::kKeepers;
     return facts.leader_known ? Stage::kTerms : Stage::kLog;
   }
-  if (!facts.any_part) return Stage::kBudgets;
-  return facts.level < budget::kFullLevel ? Stage::kRamp : Stage::kFull;
+  if (facts.level < budget::kFullLevel) return Stage::kRamp;
+  const bool went_on = before == Stage::kRamp || before == Stage::kFull;
+  return went_on || facts.settled ? Stage::kFull : Stage::kBudgets;
 }
 
 }  // namespace orchidgw::recovery
--- a/src/recovery/stages.h
+++ b/src/recovery/stages.h
@@ -14,7 +14,7 @@
   kKeepers,  // no keeper has been heard of
   kLog,      // keepers answer, and none leads: too few of them, or an election
   kTerms,    // one leads, and gives nothing yet: leases from before are waited out
-  kBudgets,  // it has a lease without anything in it: others hold what it needs
+  kBudgets,  // it has a lease and not yet all that it is due: others hold it, those of before the stop too
   kRamp,     // budgets are divided, and the whole fleet is held to a part of them while engines are cold
   kFull
 };
@@ -27,10 +27,12 @@
   bool keeper_heard = false;  // any keeper, itself too
   bool leader_known = false;
   bool leased = false;
-  bool any_part = false;  // of any allowance, beyond the cut-off part
+  bool settled = false;  // it has all that it is due
   budget::Parts level = budget::kFullLevel;
 };
 
-Stage stage_of(const Facts& facts);
+// What comes after `before`. A controller that was in full service falls back only with its lease or the
+// ramp: parts that move by demand are ordinary life.
+Stage next_stage(Stage before, const Facts& facts);
 
 }  // namespace orchidgw::recovery
--- a/src/thrift/fleet_codec.cpp
+++ b/src/thrift/fleet_codec.cpp
@@ -37,7 +37,7 @@
     f(1, t.from), f(2, t.seq), f(3, t.revision), f(4, t.acked), f(5, t.leaving), f(6, t.demand), f(7, t.held);
   } else if constexpr (std::is_same_v<S, Grant>) {
     f(1, t.to), f(2, t.seq), f(3, t.kind), f(4, t.number), f(5, t.revision), f(6, t.term), f(7, t.live);
-    f(8, t.place), f(9, t.parts), f(10, t.level);
+    f(8, t.place), f(9, t.parts), f(10, t.level), f(11, t.settled);
   } else if constexpr (std::is_same_v<S, Expiry>) {
     f(1, t.member), f(2, t.number);
   } else if constexpr (std::is_same_v<S, Entry>) {
--- a/tests/fleet/fleet_harness.cpp
+++ b/tests/fleet/fleet_harness.cpp
@@ -95,6 +95,7 @@
                                    : relay->second->address())
         << "'}\n";
   }
+  if (shape_.ramp_ms > 0) out << "return: {ramp: " << shape_.ramp_ms << "ms}\n";
   if (i < shape_.keepers) out << "store: " << directory_ << "/store-" << i << "\n";
   out << "...\n";
   return out.str();
@@ -161,6 +162,20 @@
 
 int FleetHarness::stop(int i) { return end(i, SIGTERM); }
 
+void FleetHarness::kill_all() {
+  std::vector<int> all;
+  for (const auto& [i, process] : processes_) {
+    process->signal(SIGKILL);
+    all.push_back(i);
+  }
+  for (const int i : all) end(i, SIGKILL);
+}
+
+void FleetHarness::lose_store(int i) {
+  std::filesystem::remove_all(store(i));
+  std::filesystem::create_directory(store(i));
+}
+
 void FleetHarness::pause(int i) {
   at(i).signal(SIGSTOP);
   stopped_[i] = true;
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -29,6 +29,7 @@
   int keepers = 1;  // the first of them
   int largest = 6;
   int term_ms = 1'500;
+  int ramp_ms = 0;
   std::vector<std::string> tenants = {
       "acme"};           // each with a route of its own, the clients are theirs in turn
   int rate = 200;        // of each route, queries a second of all together
@@ -44,7 +45,10 @@
 
   void start(int i);
   void start_all();
-  void kill(int i);   // SIGKILL
+  void kill(int i);        // SIGKILL
+  void kill_all();         // SIGKILL to all before any is waited for
+  void lose_store(int i);  // of a keeper that does not run: its folder is empty
+  std::string store(int i) const { return directory_ + "/store-" + std::to_string(i); }
   void pause(int i);  // SIGSTOP
   void go_on(int i);  // SIGCONT
   int stop(int i);    // SIGTERM; its exit code
