recovery: intents on the own disk before what must not run twice is sent

Now an intent is durable before the first byte, sends wait for it as an effect off the loop's thread, and a restarted controller answers failed at once within the window. A hundred kills: each reference started once. LMDB's common part has a file of its own.

--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -19,13 +19,14 @@
   kOutcome,      // the route does not try again after such an end
   kRetryShare,   // the retry budget of the route, or of all
   kShed,         // a reduced service level sheds it
+  kNoIntent,     // it must not run twice, and no intent of it can be kept
 };
-inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kShed) + 1;
+inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kNoIntent) + 1;
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasons> kNames = {
       "none",          "decision", "rate",    "concurrency",  "line_full", "closed",
-      "held_too_long", "attempts", "outcome", "retry_budget", "shed"};
+      "held_too_long", "attempts", "outcome", "retry_budget", "shed", "no_intent"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -47,6 +47,9 @@
   add_log(app, out.sources);
   app.add_option("--admin", out.sources.admin, "the administration socket's path: to open (serve), or to ask")
       ->envname("ORCHIDGW_ADMIN");
+  app.add_option("--intents", out.sources.intents,
+                 "the folder that keeps what must not run twice over a restart (none: not kept)")
+      ->envname("ORCHIDGW_INTENTS");
   app.fallthrough();  // the same options stand before or behind the command
   app.add_subcommand("serve", "serve until told to stop (SIGTERM); what no command does, too");
   CLI::App* check =
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -24,6 +24,7 @@
   std::string limits;  // the path of the operators' file; empty: `operatorFile` in the configuration, or none
   std::string fleet;   // the path of the fleet's file; empty: `fleetFile` in the configuration, or none
   std::string fleet_store;  // a keeper's folder; empty: `store` in the fleet's file
+  std::string intents;      // the folder of what must not run twice; empty: none is kept
   std::string log_level;    // empty: the operators' file, else info
   std::string log_format;   // empty: the operators' file, else text
 };
--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -55,6 +55,8 @@
       return "moved";
     case ConnectionEnd::kShutDown:
       return "shut_down";
+    case ConnectionEnd::kNoIntent:
+      return "no_intent";
   }
   return "unknown";
 }
@@ -93,6 +95,7 @@
     case ConnectionEnd::kDroppedUnsent:
     case ConnectionEnd::kIdleExpired:
     case ConnectionEnd::kAttemptOver:
+    case ConnectionEnd::kNoIntent:
       return false;
     case ConnectionEnd::kResetUnanswered:
     case ConnectionEnd::kResetMidAnswer:
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -30,8 +30,9 @@
   kMadeRoom,          // idle or silent while others wait for its place: closed by us
   kMoved,             // the other side is at another address now: closed by us
   kShutDown,          // this process ends
+  kNoIntent,          // never sent: that it would be could not be stored
 };
-inline constexpr std::size_t kConnectionEnds = static_cast<std::size_t>(ConnectionEnd::kShutDown) + 1;
+inline constexpr std::size_t kConnectionEnds = static_cast<std::size_t>(ConnectionEnd::kNoIntent) + 1;
 
 // What counters call the two.
 metrics::Names counter_names();
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -23,6 +23,9 @@
   std::string class_name;  // of kStart, as are those below
   std::string idempotency_key;
   std::string statement;
+  // Of a query that must not run twice, where intents are kept: who it is, and how long it rests once sent.
+  std::string identity;
+  TimeUs rest = 0;
   double grant_mb = 0;
   TimeUs stop_at = 0;    // the controller waits for the query until then
   TimeUs answer_by = 0;  // a call that has no whole answer by then is silent
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +15,7 @@
 
 #include "core/effects.h"
 #include "core/events.h"
+#include "core/keys.h"
 #include "core/timer_queue.h"
 #include "decision/decision.h"
 #include "limits/limiter.h"
@@ -40,6 +42,10 @@
   // Tells of each query and attempt at debug level; off at the start.
   void set_trace(bool on) { trace_ = on; }
 
+  // Asked of each query that must not run twice, before it is taken on; none: intents are not kept.
+  using Keys = std::function<KeyVerdict(const std::string& identity)>;
+  void set_keys(Keys keys) { keys_ = std::move(keys); }
+
   // Takes one event in; the effects come in the order in which they are to be done.
   std::vector<SideEffect> apply(TimeUs now, Event event);
 
@@ -136,6 +142,9 @@
   void follow(QueryId id, const limits::Verdict& verdict);
   void let_in(QueryId id);
   void turn_away(QueryId id, Reason reason, TimeUs retry_after);
+  bool may_be_taken_on(QueryId id);
+  std::string identity_of(const QueryState& query) const;  // empty: it may run twice
+  void fail_because(QueryId id, const std::string& why);
   void release_those_due();
   service_level::ShedQuery as_shed_sees(const QueryState& query) const;
   void sample_signals(TimeUs due);
@@ -201,6 +210,7 @@
   bool trace_ = false;
   TimeUs now_ = 0;
   std::vector<SideEffect> effects_;
+  Keys keys_;
   std::map<EngineId, EngineListing> engines_;
   std::unordered_map<QueryId, QueryState> queries_;
   OpenMap open_;  // requests that are owed an answer
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -54,6 +54,7 @@
     }
     controller.join_fleet(configuration, keeper_listener);
   }
+  if (!sources.intents.empty()) controller.open_intents(sources.intents);
   if (!sources.admin.empty()) controller.open_admin(sources.admin);
   log.write(orchidgw::log::Level::kInfo, "listening on " + at);
   controller.run();
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -121,6 +121,7 @@
     engines_.check(now);
     if (admin_) admin_->check(now);
     if (fleet_) fleet_->check(boot_now());
+    if (intents_) intents_->check();
     act(now);
     front_door_.between_turns(now);
     stop_if_done(now);
@@ -195,6 +196,14 @@
   follow_fleet();
 }
 
+void Controller::open_intents(const std::string& folder) {
+  intents_ = std::make_unique<Intents>(context_, folder,
+                                       [this](core::StartCall call) { engines_.start(std::move(call)); });
+  reducer_.set_keys([this](const std::string& identity) { return intents_->verdict(identity); });
+  log_.write(log::Level::kInfo, log::Component::kCore, "intents are kept",
+             {{"found", static_cast<std::int64_t>(intents_->found())}});
+}
+
 void Controller::apply(TimeUs now, core::Event event) {
   std::vector<core::SideEffect> effects;
   const TimeUs begun = unix_now();
@@ -219,9 +228,10 @@
       [this](auto& e) {
         using E = std::decay_t<decltype(e)>;
         if constexpr (std::is_same_v<E, core::StartCall>) {
+          if (intents_ && !e.identity.empty()) return intents_->hold(std::move(e));
           engines_.start(std::move(e));
         } else if constexpr (std::is_same_v<E, core::DropCall>) {
-          engines_.drop(e.call);
+          if (!intents_ || !intents_->drop(e.call)) engines_.drop(e.call);
         } else if constexpr (std::is_same_v<E, core::CloseConnection>) {
           engines_.close_connection_of(e.attempt);
         } else if constexpr (std::is_same_v<E, core::LogText>) {
@@ -343,6 +353,7 @@
   engines_.close_all();
   change_log_.close();
   if (fleet_) fleet_->close_all();
+  if (intents_) intents_->close();
   admin_.reset();
   reactor_.stop();
 }
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -19,6 +19,7 @@
 #include "net/event_queue.h"
 #include "net/fleet_member.h"
 #include "net/front_door.h"
+#include "net/intents.h"
 #include "net/reactor.h"
 #include "net/signals.h"
 
@@ -40,6 +41,9 @@
   // Throws what names the folder of a keeper's log and the reason.
   void join_fleet(const configuration::Configuration& configuration, int listener);
 
+  // Keeps intents of what must not run twice in that folder. Throws what names it and the reason.
+  void open_intents(const std::string& folder);
+
   void run();  // until a planned restart is over
 
  private:
@@ -84,6 +88,7 @@
   Signals signals_;
   std::unique_ptr<AdminSocket> admin_;  // null: off
   std::unique_ptr<FleetMember> fleet_;  // null: alone
+  std::unique_ptr<Intents> intents_;    // null: none are kept
   TimeUs stop_asked_at_ = 0;            // 0: not yet
   bool listening_ = true;
 };
--- /dev/null
+++ b/src/net/intents.h
@@ -0,0 +1,72 @@
+// Sends wait here until their intent is durable; the loop goes on with all else. A thread of its own commits
+// what has gathered, so that one wait of the disk serves all that came meanwhile (group commit).
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/effects.h"
+#include "core/keys.h"
+#include "net/channel.h"
+#include "net/context.h"
+#include "recovery/key_book.h"
+
+namespace orchidgw::net {
+
+class Intents final : public ChannelHandler {
+ public:
+  // `send`: its intent is durable. Throws what names the folder and the reason.
+  Intents(Context& context, const std::string& folder, std::function<void(core::StartCall)> send);
+  ~Intents() override;
+
+  core::KeyVerdict verdict(const std::string& identity) const;
+  void hold(core::StartCall call);
+  bool drop(core::CallId call);  // false: it is not held
+  void check();                  // once a turn: forgets what is over
+  std::size_t found() const { return found_; }
+  void close();
+
+  void on_readable() override;
+  void on_writable() override {}
+  void on_error() override {}
+  void on_failure(const char* what) override;
+
+ private:
+  struct Held {
+    core::StartCall call;
+    std::uint64_t serial = 0;
+  };
+  struct Outcome {  // of all serials since the one before
+    std::uint64_t up_to = 0;
+    bool stored = false;
+  };
+  void run();
+
+  Context& context_;
+  std::function<void(core::StartCall)> send_;
+  store::IntentStore store_;
+  std::size_t found_ = 0;
+  recovery::KeyBook book_;
+  std::deque<Held> held_;  // in the order of their serials
+  TimeUs look_at_ = 0;
+  bool failing_ = false;
+  int wake_ = -1;
+  std::unique_ptr<Channel> channel_;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<store::Intent> put_;
+  std::vector<std::uint64_t> erase_;
+  std::vector<Outcome> outcomes_;
+  std::string why_;
+  bool stop_ = false;
+  std::thread thread_;
+};
+
+}  // namespace orchidgw::net
--- /dev/null
+++ b/src/store/lmdb_environment.cpp
@@ -0,0 +1,112 @@
+#include "store/lmdb_environment.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace orchidgw::store {
+namespace {
+
+constexpr unsigned kFileMode = 0600;
+constexpr unsigned kTablesMost = 2;
+
+std::uint64_t sum_of(std::string_view bytes) {
+  boost::crc_32_type sum;
+  sum.process_bytes(bytes.data(), bytes.size());
+  return sum.checksum();
+}
+
+}  // namespace
+
+void check(int code, const char* what) {
+  if (code == 0) return;
+  throw StoreError(std::string(what) + ": " + mdb_strerror(code), code == MDB_MAP_FULL || code == ENOSPC);
+}
+
+void put(std::string& out, std::uint64_t number) {
+  char bytes[sizeof number];
+  std::memcpy(bytes, &number, sizeof number);
+  out.append(bytes, sizeof number);
+}
+
+std::uint64_t take(std::string_view& in) {
+  std::uint64_t number = 0;
+  if (in.size() < sizeof number) throw StoreError("a record is too short", false);
+  std::memcpy(&number, in.data(), sizeof number);
+  in.remove_prefix(sizeof number);
+  return number;
+}
+
+std::string take_text(std::string_view& in) {
+  const std::uint64_t size = take(in);
+  if (size > in.size()) throw StoreError("a record is too short", false);
+  std::string out(in.substr(0, size));
+  in.remove_prefix(size);
+  return out;
+}
+
+void put_text(std::string& out, std::string_view text) {
+  put(out, text.size());
+  out += text;
+}
+
+std::string with_sum(const std::string& record) {
+  std::string out;
+  put(out, sum_of(record));
+  return out + record;
+}
+
+std::string_view without_sum(std::string_view kept, const char* what) {
+  const std::uint64_t sum = take(kept);
+  if (sum != sum_of(kept)) throw StoreError(std::string(what) + ": a record is damaged", false);
+  return kept;
+}
+
+Environment::Environment(const std::string& folder, std::size_t bytes_most, bool reads) {
+  const auto fail = [this, &folder](const std::string& why) {
+    if (env_ != nullptr) mdb_env_close(env_);
+    if (lock_ >= 0) ::close(lock_);
+    throw StoreError(folder + ": " + why, false);
+  };
+  const std::string file = folder + "/data.mdb";
+  if (reads && ::access(file.c_str(), R_OK) != 0) fail(std::strerror(errno));
+  lock_ = ::open((folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  if (lock_ < 0) fail(std::strerror(errno));
+  // Guards against two processes that vote as one keeper.
+  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) fail("another process has it");
+  if (mdb_env_create(&env_) != 0) fail("no memory");
+  const unsigned flags = MDB_NOTLS | MDB_NOLOCK | (reads ? MDB_RDONLY : 0U);
+  int code = mdb_env_set_maxdbs(env_, kTablesMost);
+  if (code == 0) code = mdb_env_set_mapsize(env_, bytes_most);
+  if (code == 0) code = mdb_env_open(env_, folder.c_str(), flags, kFileMode);
+  MDB_envinfo info{};
+  MDB_stat pages{};
+  if (code == 0) code = mdb_env_info(env_, &info);
+  if (code == 0) code = mdb_env_stat(env_, &pages);
+  if (code != 0) fail(mdb_strerror(code));
+  // Guards against a file that was cut: its pages are mapped, and reading one that is not there ends the
+  // process.
+  struct stat status {};
+  if (::stat(file.c_str(), &status) != 0) fail(std::strerror(errno));
+  if (static_cast<std::uint64_t>(status.st_size) < (info.me_last_pgno + 1) * pages.ms_psize)
+    fail("the file is shorter than what was written");
+}
+
+Environment::~Environment() {
+  mdb_env_close(env_);
+  ::close(lock_);
+}
+
+Transaction::~Transaction() {
+  if (txn_ != nullptr) mdb_txn_abort(txn_);
+}
+
+void Transaction::commit() { check(mdb_txn_commit(std::exchange(txn_, nullptr)), "commit"); }
+
+}  // namespace orchidgw::store
--- /dev/null
+++ b/tests/fleet/keys_test.cpp
@@ -0,0 +1,152 @@
+// What must not run twice, over kills of a real process: the engines record each start by its reference, the
+// client asks again for all that it had no answer for.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <filesystem>
+#include <memory>
+#include <set>
+
+#include "controller_process.h"
+#include "front_client.h"
+#include "http_stand_in.h"
+
+namespace orchidgw::integration {
+namespace {
+
+class Keys : public ::testing::Test {
+ protected:
+  Keys() : engine([this](const HttpCall& call) { return serve(call); }) {
+    std::string path = (std::filesystem::temp_directory_path() / "orchidgw-keys-XXXXXX").string();
+    EXPECT_NE(mkdtemp(path.data()), nullptr);
+    folder = path;
+  }
+  ~Keys() override {
+    controller.reset();
+    let_go();
+    std::filesystem::remove_all(folder);
+  }
+
+  HttpReply serve(const HttpCall& call) {
+    HttpReply reply;
+    if (call.method != "POST") {
+      reply.status = 204;
+      return reply;
+    }
+    std::unique_lock lock(mutex);
+    ++starts[call.headers.at("Call-Id")];
+    ++all_starts;
+    changed.notify_all();
+    changed.wait(lock, [this] { return !hold; });
+    reply.headers = {{"X-Pages", "1"}, {"X-Cost-Ms", "1"}, {"X-Needed-Mb", "1"}};
+    reply.body = "a\tb\tc\n";
+    return reply;
+  }
+  void let_go() {
+    const std::lock_guard lock(mutex);
+    hold = false;
+    changed.notify_all();
+  }
+  void start() {
+    ControllerOptions options;
+    options.members = {member("s-0", engine.address())};
+    options.words = {"--intents", folder};
+    controller = std::make_unique<ControllerProcess>(options);
+  }
+  void kill() {
+    controller->signal(SIGKILL);
+    controller->wait_exit();
+  }
+  int starts_of(const std::string& reference) {
+    const std::lock_guard lock(mutex);
+    const auto it = starts.find(reference);
+    return it == starts.end() ? 0 : it->second;
+  }
+  // Asks for what must not run twice.
+  static void ask(FrontClient& client, std::int32_t tag, const std::string& reference) {
+    client.invoke(tag, {{"service", "once"}, {"ref", reference}});
+  }
+
+  std::string folder;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, int> starts;  // by reference
+  int all_starts = 0;
+  bool hold = false;
+  HttpStandIn engine;
+  std::unique_ptr<ControllerProcess> controller;
+};
+
+TEST_F(Keys, WhatWasSentBeforeAKillIsNotSentAgainAndSaysSoAtOnce) {
+  hold = true;
+  start();
+  {
+    FrontClient client(controller->address());
+    ask(client, 1, "00000000000000a1");
+    std::unique_lock lock(mutex);
+    ASSERT_TRUE(changed.wait_for(lock, std::chrono::seconds(20), [this] { return all_starts == 1; }))
+        << controller->log();
+  }
+  kill();
+  let_go();
+  start();
+  ASSERT_TRUE(controller->wait_for_line("intents are kept"));
+  FrontClient client(controller->address());
+  ask(client, 1, "00000000000000a1");
+  EXPECT_EQ(client.receive().kind, FrontAnswer::Kind::kFailed);  // no refusal: it would call a try harmless
+  ask(client, 2, "00000000000000a2");
+  EXPECT_EQ(client.receive().kind, FrontAnswer::Kind::kServed);
+  client.invoke(3);  // safe to repeat: not concerned
+  EXPECT_EQ(client.receive().kind, FrontAnswer::Kind::kServed);
+  EXPECT_EQ(starts_of("00000000000000a1"), 1);
+}
+
+// A hundred kills, each after another number of starts; all that had no answer is asked for again, for ever.
+TEST_F(Keys, NothingRunsTwiceOverAHundredKills) {
+  constexpr int kKills = 100;
+  constexpr int kAtOnce = 8;
+  std::set<std::string> open;
+  std::set<std::string> served;
+  int failed = 0;
+  long next = 0;
+  for (int n = 0; n < kKills; ++n) {
+    start();
+    FrontClient client(controller->address());
+    std::map<std::int32_t, std::string> asked;
+    while (open.size() < kAtOnce) open.insert(std::to_string(1'000'000'000'000'000 + ++next));
+    std::int32_t tag = 0;
+    for (const std::string& reference : open) {
+      asked[++tag] = reference;
+      ask(client, tag, reference);
+    }
+    // As many answers as the number of this kill says, then the end, whatever is under way.
+    for (int answers = n % kAtOnce; answers > 0; --answers) {
+      const FrontAnswer answer = client.receive();
+      ASSERT_NE(answer.kind, FrontAnswer::Kind::kClosed);
+      const std::string reference = asked.at(answer.sequence);
+      if (answer.kind == FrontAnswer::Kind::kServed) served.insert(reference);
+      if (answer.kind == FrontAnswer::Kind::kFailed) ++failed;
+      if (answer.kind != FrontAnswer::Kind::kRefused) open.erase(reference);
+    }
+    kill();
+  }
+  for (const auto& [reference, count] : starts) EXPECT_EQ(count, 1) << reference;
+  for (const std::string& reference : served) EXPECT_EQ(starts_of(reference), 1) << reference;
+  EXPECT_GT(served.size(), 50U);
+  EXPECT_GT(failed, 20);
+}
+
+TEST_F(Keys, AFolderThatCannotBeUsedEndsTheStartWithALine) {
+  start();
+  ControllerProcess bad({{"BALANCER_CONFIG", controller->config_path()}, {"BALANCER_LISTEN", free_address()}},
+                        {"--intents", folder + "/nowhere"});
+  EXPECT_EQ(bad.wait_exit(), 1);
+  bad.join_reader();
+  EXPECT_NE(bad.log().find("orchidgw: " + folder + "/nowhere: No such file or directory"), std::string::npos)
+      << bad.log();
+}
+
+}  // namespace
+}  // namespace orchidgw::integration
--- /dev/null
+++ b/tests/recovery/key_book_test.cpp
@@ -0,0 +1,104 @@
+// What rests after a start, for how long, and that it is forgotten; the store below it on a real disk.
+#include "recovery/key_book.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <random>
+#include <set>
+
+namespace orchidgw::recovery {
+namespace {
+
+constexpr TimeUs kSecond = 1'000'000;
+
+TEST(KeyBook, OnTheSameBootWhatIsLeftOfTheWindowRests) {
+  KeyBook first("boot-1", 100 * kSecond, {}, 10);
+  const store::Intent intent = first.intend("key k", 12 * kSecond, 100 * kSecond);
+  EXPECT_FALSE(first.may_have_run("key k", 101 * kSecond));  // this process knows its own queries
+  KeyBook second("boot-1", 105 * kSecond, {intent}, 10);
+  EXPECT_TRUE(second.may_have_run("key k", 111 * kSecond));
+  EXPECT_FALSE(second.may_have_run("key other", 111 * kSecond));
+  EXPECT_FALSE(second.may_have_run("key k", 112 * kSecond));
+  EXPECT_EQ(second.over(112 * kSecond), std::vector<std::uint64_t>{intent.serial});
+}
+
+// Nobody knows how long the power was gone, and clocks of before say nothing.
+TEST(KeyBook, AfterAnotherBootTheWholeWindowRestsFromTheStartOn) {
+  const store::Intent intent{7, "key k", "boot-1", 900 * kSecond, 12 * kSecond};
+  for (const char* boot : {"boot-2", "boot-1"}) {  // or a time that is not of this boot
+    KeyBook book(boot, 3 * kSecond, {intent}, 10);
+    EXPECT_TRUE(book.may_have_run("key k", 14 * kSecond));
+    EXPECT_FALSE(book.may_have_run("key k", 15 * kSecond));
+    EXPECT_GT(book.intend("key k", kSecond, 16 * kSecond).serial, 7U);
+  }
+}
+
+TEST(KeyBook, TheLatestOfSeveralAttemptsCountsAndTheBoundIsSaid) {
+  const std::vector<store::Intent> found = {{1, "key k", "b", 2 * kSecond, 10 * kSecond},
+                                            {2, "key k", "b", 6 * kSecond, 10 * kSecond}};
+  KeyBook book("b", 7 * kSecond, found, 2);
+  EXPECT_TRUE(book.full());
+  EXPECT_EQ(book.over(12 * kSecond), std::vector<std::uint64_t>{1});
+  EXPECT_FALSE(book.full());
+  EXPECT_TRUE(book.may_have_run("key k", 15 * kSecond));
+  EXPECT_EQ(book.over(16 * kSecond), std::vector<std::uint64_t>{2});
+  EXPECT_FALSE(book.may_have_run("key k", 15 * kSecond));
+}
+
+// Starts of the process and of the machine at any moment: no key is sent twice within its window.
+TEST(KeyBook, NoKeyIsSentTwiceWithinItsWindowWhateverStarts) {
+  for (unsigned seed = 1; seed <= 500; ++seed) {
+    std::mt19937 random(seed);
+    TimeUs true_now = 1000 * kSecond;
+    TimeUs booted_at = 0;
+    int boots = 1;
+    std::vector<store::Intent> disk;
+    std::map<std::string, TimeUs> sent;  // by this or an earlier process
+    std::set<std::string> own;           // of this process, which does not send its own twice
+    const auto boot_now = [&] { return true_now - booted_at; };
+    const auto start = [&] {
+      own.clear();
+      return KeyBook("boot-" + std::to_string(boots), boot_now(), disk, 1'000);
+    };
+    KeyBook book = start();
+    for (int step = 0; step < 200; ++step) {
+      true_now += static_cast<TimeUs>(random() % 3'000) * 1'000;
+      for (const std::uint64_t serial : book.over(boot_now()))
+        std::erase_if(disk, [serial](const store::Intent& one) { return one.serial == serial; });
+      if (random() % 10 == 0) {
+        if (random() % 2 == 0) {  // the machine too, for a while
+          true_now += static_cast<TimeUs>(random() % 20) * kSecond;
+          booted_at = true_now - static_cast<TimeUs>(random() % 50) * kSecond;
+          ++boots;
+        }
+        book = start();
+      }
+      const std::string key = "key " + std::to_string(random() % 5);
+      if (book.may_have_run(key, boot_now()) || own.contains(key)) continue;
+      const auto before = sent.find(key);
+      const TimeUs since = before == sent.end() ? 12 * kSecond : true_now - before->second;
+      ASSERT_GE(since, 12 * kSecond) << "seed " << seed << " step " << step;
+      disk.push_back(book.intend(key, 12 * kSecond, boot_now()));
+      sent[key] = true_now;
+      own.insert(key);
+    }
+  }
+}
+
+TEST(IntentStore, FindsAgainWhatWasCommitted) {
+  std::string folder = (std::filesystem::temp_directory_path() / "orchidgw-intents-XXXXXX").string();
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  const std::vector<store::Intent> some = {{1, "key a", "b", 5, 6}, {2, "reference r", "b", 7, 8}};
+  {
+    store::IntentStore store(folder, 1024 * 1024);
+    store.commit(some, {});
+    store.commit({}, {1, 99});
+    EXPECT_THROW(store::IntentStore(folder, 1024 * 1024), store::StoreError);
+  }
+  EXPECT_EQ(store::IntentStore(folder, 1024 * 1024).load(), std::vector<store::Intent>{some[1]});
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace orchidgw::recovery
