--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -26,7 +26,7 @@
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasons> kNames = {
       "none",          "decision", "rate",    "concurrency",  "line_full", "closed",
-      "held_too_long", "attempts", "outcome", "retry_budget", "shed", "no_intent"};
+      "held_too_long", "attempts", "outcome", "retry_budget", "shed",      "no_intent"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
