--- a/src/cli/store_command.cpp
+++ b/src/cli/store_command.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint32_t kCommand = 1;  // entries that carry budgets; others are the log's own
-constexpr std::size_t kNoMatter = 1024 * 1024;
+constexpr std::size_t kNoMatter = std::size_t{1024} * 1024;
 
 // What the log leads to, as a keeper would have it after its start but for entries that were not agreed on.
 struct Played {
