--- a/src/budget/arbiter.cpp
+++ b/src/budget/arbiter.cpp
@@ -12,13 +12,10 @@
 }  // namespace
 
 void Arbiter::lead(TimeUs now, const Ledger& ledger) {
+  follow();  // nothing of an earlier leadership
   leads_ = true;
-  on_its_way_ = false;
-  running_.clear();
   for (const auto& [key, member] : ledger.members())
     running_[key] = {member.number, now + Terms::surely_over_after(member.term, ledger.terms().drift_ppm)};
-  step_at_.reset();
-  not_before_ = 0;
   if (ledger.terms().revision == 0 && wanted_)
     not_before_ = now + Terms::surely_over_after(wanted_->term, wanted_->drift_ppm);
 }
--- a/src/budget/arbiter.h
+++ b/src/budget/arbiter.h
@@ -36,7 +36,7 @@
 
   std::optional<TimeUs> next_due() const;
   // Asks wait: leases of a log that is lost may still be out.
-  bool waits_out(TimeUs now) const { return leads_ && now < not_before_; }
+  bool waits_out() const { return not_before_ > 0; }
 
  private:
   struct Running {
@@ -51,7 +51,7 @@
   std::optional<Terms> wanted_;
   std::map<MemberKey, Ask> asks_;
   std::map<MemberKey, Running> running_;
-  TimeUs not_before_ = 0;          // of the first terms of a new log
+  TimeUs not_before_ = 0;          // of the first terms of a new log, until they are due; else 0
   std::optional<TimeUs> step_at_;  // of the ramp
 };
 
--- a/src/budget/ledger.cpp
+++ b/src/budget/ledger.cpp
@@ -208,9 +208,9 @@
   out.place = static_cast<int>(place);
   for (std::size_t a = 0; a < free.size(); ++a) {
     const Parts before = m.outstanding(a);
-    Parts part = next_part(a, m, division.targets[a][place], free[a]);
-    if (ask.revision != terms_.revision) part = std::min(part, m.granted[a]);
     const Parts due = division.targets[a][place];
+    Parts part = next_part(a, m, due, free[a]);
+    if (ask.revision != terms_.revision) part = std::min(part, m.granted[a]);
     // Half of it: parts move by demand all the time, and who waits for leases of before a stop has far less.
     out.settled = out.settled && part >= due / 2;
     m.granted[a] = part;
--- a/src/budget/terms.h
+++ b/src/budget/terms.h
@@ -16,6 +16,7 @@
 
 inline constexpr Parts kFullLevel = 1'000'000;
 inline constexpr Parts kRampSteps = 10;
+inline Parts percent_of(Parts level) { return level * 100 / kFullLevel; }  // for operators
 
 // One allowance and its whole. largest x cut_off + reserve <= whole.
 struct Allowance {
--- a/src/cli/store_command.cpp
+++ b/src/cli/store_command.cpp
@@ -10,7 +10,6 @@
 namespace orchidgw::cli {
 namespace {
 
-constexpr std::uint32_t kCommand = 1;  // entries that carry budgets; others are the log's own
 constexpr std::size_t kNoMatter = std::size_t{1024} * 1024;
 
 // What the log leads to, as a keeper would have it after its start but for entries that were not agreed on.
@@ -32,7 +31,7 @@
   std::uint64_t index = stored.first;
   for (const store::StoredEntry& one : stored.entries) {
     const std::uint64_t at = index++;
-    if (one.type != kCommand) continue;
+    if (one.type != store::kCommandEntry) continue;
     const auto entry = thrift::read_entry(one.data);
     if (!entry) {
       out.fault = "entry " + std::to_string(at) + " can't be read";
@@ -54,7 +53,7 @@
       << (stored.snapshot ? stored.snapshot->index : 0) << " entries " << stored.first << " to "
       << stored.first + stored.entries.size() - 1 << '\n';
   out << "revision " << ledger.terms().revision << " members " << ledger.members().size() << " level_percent "
-      << ledger.level() * 100 / budget::kFullLevel << '\n';
+      << budget::percent_of(ledger.level()) << '\n';
   for (std::size_t a = 0; a < ledger.terms().allowances.size(); ++a)
     out << "allowance " << ledger.terms().allowances[a].name << " whole "
         << ledger.terms().allowances[a].whole << " leased " << ledger.outstanding(a) << '\n';
@@ -64,7 +63,7 @@
   std::uint64_t index = stored.first;
   for (const store::StoredEntry& one : stored.entries) {
     out << "entry " << index++ << " term " << one.term;
-    const auto entry = one.type == kCommand ? thrift::read_entry(one.data) : std::nullopt;
+    const auto entry = one.type == store::kCommandEntry ? thrift::read_entry(one.data) : std::nullopt;
     if (!entry) out << " type " << one.type;
     if (entry) {
       for (const budget::Terms& terms : entry->terms) out << " terms " << terms.revision;
@@ -87,8 +86,7 @@
     store::LmdbStore store(folder, kNoMatter, store::LmdbStore::Open::kRead);
     stored = store.load();
   } catch (const store::StoreError& e) {
-    const std::string what = e.what();
-    err << "orchidgw: " << (what.starts_with(folder) ? what : folder + ": " + what) << '\n';
+    err << "orchidgw: " << e.what() << '\n';
     return kBad;
   }
   const Played played = play(stored);
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -134,7 +134,7 @@
 }
 
 std::string Reducer::identity_of(const QueryState& query) const {
-  const ClassSettings& c = settings_.classes.at(static_cast<std::size_t>(query.class_index));
+  const ClassSettings& c = class_of(query);
   if (c.effect == Effect::kIdempotent) return "";
   const bool keyed = c.effect == Effect::kDeduplicated && !query.request.idempotency_key.empty();
   return keyed ? "key " + query.request.idempotency_key : "reference " + query.request.reference;
@@ -152,7 +152,7 @@
       fail_because(id, "it may have run before this controller's start");
       return false;
     case KeyVerdict::kNoRoom:
-      turn_away(id, Reason::kNoIntent, settings_.limits.retry_after ? settings_.limits.max_retry_after : 0);
+      turn_away(id, Reason::kNoIntent, longest_advice());
       return false;
   }
   return true;
@@ -263,8 +263,7 @@
 
 // With a time to come back only where the settings let one be told.
 void Reducer::shed(QueryId id) {
-  const TimeUs most = settings_.limits.retry_after ? settings_.limits.max_retry_after : 0;
-  turn_away(id, Reason::kShed, levels_.come_back_in(as_shed_sees(queries_.at(id)), most));
+  turn_away(id, Reason::kShed, levels_.come_back_in(as_shed_sees(queries_.at(id)), longest_advice()));
 }
 
 // A change of level meets those that wait, too: what is shed now is answered at once. None was sent anywhere.
@@ -345,9 +344,11 @@
     start.idempotency_key = query.request.idempotency_key;
     start.statement = query.request.statement;
     start.grant_mb = query.grant_mb;
-    if (keys_) start.identity = identity_of(query);
-    const ClassSettings& c = settings_.classes.at(static_cast<std::size_t>(query.class_index));
-    start.rest = c.repeat_window > 0 ? c.repeat_window : c.deadline;
+    if (keys_) {
+      const ClassSettings& c = class_of(query);
+      start.identity = identity_of(query);
+      start.rest = c.repeat_window > 0 ? c.repeat_window : c.deadline;
+    }
     start.stop_at = a.stop_at;
   }
   if (kind != CallKind::kPriority) {
@@ -570,7 +571,7 @@
     outcome.told_cost = a.told_cost;
     outcome.told_memory_mb = a.told_memory_mb;
   }
-  const ClassSettings& c = settings_.classes[static_cast<std::size_t>(query.class_index)];
+  const ClassSettings& c = class_of(query);
   const TimeUs expected = query.request.cost_estimate / c.threads;
   if (pending.kind == OutcomeKind::kOk && expected > 0 && levels_.on() && !c.load)
     levels_.meters()->attempt(now_, a.engine,
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -142,6 +142,13 @@
   void follow(QueryId id, const limits::Verdict& verdict);
   void let_in(QueryId id);
   void turn_away(QueryId id, Reason reason, TimeUs retry_after);
+  const ClassSettings& class_of(const QueryState& query) const {
+    return settings_.classes[static_cast<std::size_t>(query.class_index)];
+  }
+  // The longest time to come back that a refusal may tell; 0: none.
+  TimeUs longest_advice() const {
+    return settings_.limits.retry_after ? settings_.limits.max_retry_after : 0;
+  }
   bool may_be_taken_on(QueryId id);
   std::string identity_of(const QueryState& query) const;  // empty: it may run twice
   void fail_because(QueryId id, const std::string& why);
--- a/src/fleet/keeper_role.cpp
+++ b/src/fleet/keeper_role.cpp
@@ -10,8 +10,8 @@
   const std::uint64_t revision = ask.revision;
   const budget::MemberKey key = ask.from;
   const bool leads = log.leads() && arbiter_.leads();
-  if (!leads || waits_out_ || !arbiter_.asked(std::move(ask))) {
-    const KeeperId leader = log.leads() && !waits_out_ ? 0 : log.leader();
+  if (!leads || arbiter_.waits_out() || !arbiter_.asked(std::move(ask))) {
+    const KeeperId leader = log.leads() && !arbiter_.waits_out() ? 0 : log.leader();
     replies_.push_back({from, Elsewhere{seq, leader}});
     return;
   }
@@ -42,7 +42,6 @@
     arbiter_.applied(now, ledger_, granted);
     for (const budget::Grant& grant : granted) answer(grant);
   }
-  waits_out_ = arbiter_.waits_out(now);
   if (!arbiter_.leads()) return;
   if (log.finished() >= proposed_) arbiter_.done();
   if (const auto entry = arbiter_.next(now, ledger_)) {
@@ -78,7 +77,7 @@
 std::string KeeperRole::status(const AgreedLog& log) const {
   std::ostringstream out;
   out << "keeper " << (log.leads() ? "leads" : "follows") << " leader " << log.leader() << " entries "
-      << entries_ << " level_percent " << ledger_.level() * 100 / budget::kFullLevel << " members "
+      << entries_ << " level_percent " << budget::percent_of(ledger_.level()) << " members "
       << ledger_.members().size() << " revision " << ledger_.terms().revision << '\n';
   for (std::size_t a = 0; a < ledger_.terms().allowances.size(); ++a) {
     const budget::Allowance& terms = ledger_.terms().allowances[a];
--- a/src/fleet/keeper_role.h
+++ b/src/fleet/keeper_role.h
@@ -56,7 +56,6 @@
   };
   std::map<budget::MemberKey, Asker> askers_;  // whom the leader owes an answer
   std::deque<budget::Grant> granted_;          // since the last run
-  bool waits_out_ = false;                     // leases of a log before this one may be out
   bool news_ = false;                          // an entry was applied since the last run
   std::vector<Reply> replies_;
 };
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr TimeUs kUsPerMs = 1000;
+static_assert(store::kCommandEntry == RAFT_COMMAND);
 constexpr std::uint64_t kAllEntries = ~std::uint64_t{0};
 
 }  // namespace
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -144,7 +144,7 @@
     if (keeper_) keeper_->post(KeeperThread::Asked{link, std::move(*ask)});
   } else if (auto* log = std::get_if<fleet::LogMessage>(&message)) {
     // Known at once: guards against a greeting that is sent before the keeper's thread has looked at this.
-    if (keeps_ && begun_.insert(log->from).second) port_.knows({begun_.begin(), begun_.end()});
+    if (keeps_) port_.knows(log->from);
     if (keeper_) keeper_->post(std::move(*log));
   } else {
     told(message);
@@ -173,11 +173,10 @@
   KeeperThread::Output out = keeper_->take();
   for (const std::string& note : out.notes)
     context_.log.write(log::Level::kInfo, log::Component::kFleet, note);
-  keeps_ = out.keeps;
+  keeps_ = out.standing.keeps;
   keeper_heard_ = keeper_heard_ || keeps_;
-  waits_for_ = std::move(out.waits_for);
-  begun_.insert(out.begun.begin(), out.begun.end());
-  port_.knows({begun_.begin(), begun_.end()});
+  waits_for_ = std::move(out.standing.waits_for);
+  for (const fleet::KeeperId keeper : out.standing.begun) port_.knows(keeper);
   for (const fleet::LogMessage& message : out.to_keepers) port_.send(message.to, message);
   for (const auto& reply : out.replies) {
     if (reply.link == 0) {
@@ -224,7 +223,7 @@
   const budget::Holder& holder = role_.holder();
   std::ostringstream out;
   out << "stage " << (stage_ ? recovery::name_of(*stage_) : "store") << " level_percent "
-      << holder.level() * 100 / budget::kFullLevel << '\n';
+      << budget::percent_of(holder.level()) << '\n';
   out << "fleet " << config_.name << ' ' << config_.number << " member " << holder.self().name
       << " incarnation " << holder.self().incarnation << '\n';
   out << "lease " << holder.number() << ' ' << (holder.leased(now) ? "runs" : "none") << " left_ms "
--- a/src/net/fleet_member.h
+++ b/src/net/fleet_member.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "fleet/allowances.h"
@@ -81,7 +80,6 @@
   bool leased_ = false;
   bool keeps_ = false;  // its disk is in use
   bool keeper_heard_ = false;
-  std::set<fleet::KeeperId> begun_;         // of the keepers, as greetings tell
   std::vector<fleet::KeeperId> waits_for_;  // greetings without which its disk is not used
   std::optional<recovery::Stage> stage_;
   TimeUs leaving_since_ = 0;
--- a/src/net/fleet_port.cpp
+++ b/src/net/fleet_port.cpp
@@ -121,6 +121,14 @@
   if (!outgoing.link) connect(keeper, outgoing);
 }
 
+// Bounded by the file's keepers: guards against a number that a message made up.
+void FleetPort::knows(fleet::KeeperId begun) {
+  const bool one_of_us = std::any_of(config_.keepers.begin(), config_.keepers.end(),
+                                     [begun](const fleet::KeeperPlace& one) { return one.id == begun; });
+  const bool known = std::find(self_.begun.begin(), self_.begun.end(), begun) != self_.begun.end();
+  if (one_of_us && !known) self_.begun.push_back(begun);
+}
+
 bool FleetPort::reply(std::uint64_t link, const fleet::Message& message) {
   const auto it = accepted_.find(link);
   if (it == accepted_.end()) return false;
--- a/src/net/intents.cpp
+++ b/src/net/intents.cpp
@@ -1,15 +1,10 @@
 #include "net/intents.h"
 
-#include <pthread.h>
-#include <signal.h>
-#include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
 #include <fstream>
-#include <system_error>
 #include <utility>
 
 #include "net/clock.h"
@@ -36,9 +31,7 @@
         found_ = found.size();
         return recovery::KeyBook(boot_id(), boot_now(), found, kIntentsMost);
       }()) {
-  wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (wake_ < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
-  channel_ = std::make_unique<Channel>(context.reactor, ::dup(wake_), *this);
+  channel_ = std::make_unique<Channel>(context.reactor, ::dup(wake_.fd()), *this);
   channel_->want_read(true);
   thread_ = std::thread([this] { run(); });
 }
@@ -50,7 +43,6 @@
     changed_.notify_all();
   }
   thread_.join();
-  ::close(wake_);
 }
 
 void Intents::close() { channel_->close(); }
@@ -89,8 +81,7 @@
 }
 
 void Intents::on_readable() {
-  std::uint64_t count = 0;
-  while (::read(wake_, &count, sizeof count) > 0) continue;
+  wake_.heard();
   std::vector<Outcome> outcomes;
   std::string why;
   {
@@ -123,10 +114,8 @@
 }
 
 void Intents::run() {
-  sigset_t all;
-  sigfillset(&all);
-  pthread_sigmask(SIG_BLOCK, &all, nullptr);  // signals are the loop's
-  std::vector<std::uint64_t> erase;           // kept until they are erased
+  leave_signals_to_the_loop();
+  std::vector<std::uint64_t> erase;  // kept until they are erased
   while (true) {
     std::vector<store::Intent> put;
     {
@@ -148,8 +137,7 @@
       std::unique_lock lock(mutex_);
       why_ = why;
       if (!put.empty()) outcomes_.push_back({put.back().serial, why.empty()});
-      const std::uint64_t one = 1;
-      static_cast<void>(!::write(wake_, &one, sizeof one));
+      wake_.ring();
       if (!why.empty()) {  // tried again without a word, so that it is known when the disk is better
         changed_.wait_for(lock, kRetryAfter, [this] { return stop_; });
         if (erase_.empty()) erase_.push_back(0);
--- a/src/net/intents.h
+++ b/src/net/intents.h
@@ -15,6 +15,7 @@
 #include "core/keys.h"
 #include "net/channel.h"
 #include "net/context.h"
+#include "net/wake.h"
 #include "recovery/key_book.h"
 
 namespace orchidgw::net {
@@ -56,7 +57,7 @@
   std::deque<Held> held_;  // in the order of their serials
   TimeUs look_at_ = 0;
   bool failing_ = false;
-  int wake_ = -1;
+  Wake wake_;
   std::unique_ptr<Channel> channel_;
 
   std::mutex mutex_;
--- a/src/net/keeper_thread.cpp
+++ b/src/net/keeper_thread.cpp
@@ -1,14 +1,7 @@
 #include "net/keeper_thread.h"
 
-#include <pthread.h>
-#include <signal.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
-#include <system_error>
 #include <utility>
 
 #include "net/clock.h"
@@ -30,8 +23,6 @@
   open_store();
   role_ = std::make_unique<fleet::KeeperRole>(own_);
   if (claim_->verdict() == Verdict::kMay) begin_keeper();
-  wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (wake_ < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
   thread_ = std::thread([this] { run(); });
 }
 
@@ -43,7 +34,6 @@
   }
   if (thread_.joinable()) thread_.join();
   keeper_.reset();
-  if (wake_ >= 0) ::close(wake_);
 }
 
 bool KeeperThread::post(Input input) {
@@ -55,13 +45,10 @@
 }
 
 KeeperThread::Output KeeperThread::take() {
-  std::uint64_t count = 0;
-  while (::read(wake_, &count, sizeof count) > 0) continue;
+  wake_.heard();
   const std::lock_guard lock(mutex_);
   Output out = std::exchange(output_, {});
-  output_.begun = out.begun;  // what holds until it is another
-  output_.waits_for = out.waits_for;
-  output_.keeps = out.keeps;
+  output_.standing = out.standing;  // it holds until it is another
   return out;
 }
 
@@ -74,12 +61,7 @@
 void KeeperThread::open_store() {
   store_.reset();
   store_ = std::make_unique<store::LmdbStore>(folder_, kStoreBytes);
-  store::Stored found;
-  try {
-    found = store_->load();
-  } catch (const store::StoreError& e) {
-    throw store::StoreError(folder_ + ": " + e.what(), e.full());
-  }
+  const store::Stored found = store_->load();
   if (found.owner) {
     const std::string fault = recovery::fault_of(*found.owner, self_);
     if (!fault.empty()) throw store::StoreError(folder_ + ": " + fault, false);
@@ -136,11 +118,9 @@
     } else if (auto* gone = std::get_if<LinkGone>(&input)) {
       role_->link_gone(gone->link);
     } else if (auto* greeted = std::get_if<Greeted>(&input)) {
-      claim_->told(greeted->by, greeted->begun);
-      const auto& begun = greeted->begun;  // its own word for itself
-      if (std::find(begun.begin(), begun.end(), greeted->by) != begun.end()) note_begun(greeted->by);
+      if (claim_->told(greeted->by, greeted->begun)) store_claim();
     } else if (auto* message = std::get_if<fleet::LogMessage>(&input)) {
-      note_begun(message->from);
+      if (claim_->met(message->from)) store_claim();
       if (keeper_) keeper_->receive(*message);
     } else if (auto* asked = std::get_if<Asked>(&input)) {
       if (keeper_) role_->asked(*keeper_, asked->link, std::move(asked->ask));
@@ -149,9 +129,9 @@
   inputs.clear();
 }
 
-// Stored before anything that follows from it leaves.
-void KeeperThread::note_begun(fleet::KeeperId keeper) {
-  if (claim_->met(keeper) && keeper_) store_->set_owner(claim_->owner());
+// With what follows from it, before any of that leaves.
+void KeeperThread::store_claim() {
+  if (keeper_) store_->set_owner(claim_->owner());
 }
 
 void KeeperThread::give_out() {
@@ -164,17 +144,14 @@
     status_at_ = now + kStatusEvery;
     status = role_->status(*keeper_);
   }
+  Standing standing;
+  standing.keeps = keeper_ != nullptr;
+  if (claim_->verdict() == Verdict::kWait) standing.waits_for = claim_->waits_for();
+  if (keeper_) standing.begun.assign(claim_->owner().begun.begin(), claim_->owner().begun.end());
   const std::lock_guard lock(mutex_);
   if (!status.empty()) status_ = std::move(status);
-  Output now_known;
-  now_known.keeps = keeper_ != nullptr;
-  if (claim_->verdict() == Verdict::kWait) now_known.waits_for = claim_->waits_for();
-  if (keeper_) now_known.begun.assign(claim_->owner().begun.begin(), claim_->owner().begun.end());
-  const bool other = now_known.keeps != output_.keeps || now_known.waits_for != output_.waits_for ||
-                     now_known.begun != output_.begun;
-  output_.keeps = now_known.keeps;
-  output_.waits_for = std::move(now_known.waits_for);
-  output_.begun = std::move(now_known.begun);
+  const bool other = standing != output_.standing;
+  output_.standing = std::move(standing);
   if (messages.empty() && replies.empty() && notes_.empty() && !other) return;
   const auto move_in = [](auto& to, auto& from) {
     for (auto& one : from)
@@ -184,14 +161,11 @@
   move_in(output_.to_keepers, messages);
   move_in(output_.replies, replies);
   move_in(output_.notes, notes_);
-  const std::uint64_t one = 1;
-  static_cast<void>(!::write(wake_, &one, sizeof one));  // full means that the loop will look anyway
+  wake_.ring();
 }
 
 void KeeperThread::run() {
-  sigset_t all;
-  sigfillset(&all);
-  pthread_sigmask(SIG_BLOCK, &all, nullptr);  // signals are the loop's
+  leave_signals_to_the_loop();
   std::vector<Input> inputs;
   while (true) {
     {
--- a/src/net/keeper_thread.h
+++ b/src/net/keeper_thread.h
@@ -12,6 +12,7 @@
 
 #include "fleet/keeper_role.h"
 #include "keeper/keeper.h"
+#include "net/wake.h"
 #include "recovery/disk_claim.h"
 
 namespace orchidgw::net {
@@ -31,13 +32,17 @@
   };
   using Input = std::variant<fleet::LogMessage, Asked, LinkGone, Greeted, budget::Terms>;
 
+  struct Standing {  // of this keeper, as of now; see recovery::DiskClaim
+    bool keeps = false;
+    std::vector<fleet::KeeperId> begun;      // whom it knows to have begun
+    std::vector<fleet::KeeperId> waits_for;  // whose greeting it needs before it may begin
+    bool operator==(const Standing&) const = default;
+  };
   struct Output {
     std::vector<fleet::LogMessage> to_keepers;
     std::vector<fleet::KeeperRole::Reply> replies;
-    std::vector<std::string> notes;          // for the log
-    std::vector<fleet::KeeperId> begun;      // as of now; see recovery::DiskClaim
-    std::vector<fleet::KeeperId> waits_for;  // whose greeting this keeper needs before it may begin
-    bool keeps = false;
+    std::vector<std::string> notes;  // for the log
+    Standing standing;
   };
 
   // Opens the store. Throws what names the folder and the reason.
@@ -47,8 +52,8 @@
   KeeperThread(const KeeperThread&) = delete;
   KeeperThread& operator=(const KeeperThread&) = delete;
 
-  int wake_fd() const { return wake_; }  // readable while there is something to take; `take` clears it
-  bool post(Input input);                // false: the queue is full, the message is left out
+  int wake_fd() const { return wake_.fd(); }  // readable while there is something to take; `take` clears it
+  bool post(Input input);                     // false: the queue is full, the message is left out
   Output take();
   std::string status() const;  // as of a moment ago
 
@@ -60,7 +65,7 @@
   void give_out();
   void open_store();
   void begin_keeper();
-  void note_begun(fleet::KeeperId keeper);
+  void store_claim();
   bool make_keeper();
 
   keeper::Options options_;
@@ -77,7 +82,7 @@
   TimeUs status_at_ = 0;  // when the status is written next
   std::vector<std::string> notes_;
   bool led_ = false;
-  int wake_ = -1;
+  Wake wake_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- /dev/null
+++ b/src/net/wake.cpp
@@ -0,0 +1,36 @@
+#include "net/wake.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <system_error>
+
+namespace orchidgw::net {
+
+Wake::Wake() : fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
+}
+
+Wake::~Wake() { ::close(fd_); }
+
+void Wake::ring() {
+  const std::uint64_t one = 1;
+  static_cast<void>(!::write(fd_, &one, sizeof one));  // full means that the loop will look anyway
+}
+
+void Wake::heard() {
+  std::uint64_t count = 0;
+  while (::read(fd_, &count, sizeof count) > 0) continue;
+}
+
+void leave_signals_to_the_loop() {
+  sigset_t all;
+  sigfillset(&all);
+  pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
+}  // namespace orchidgw::net
--- /dev/null
+++ b/src/net/wake.h
@@ -0,0 +1,23 @@
+// How a thread beside the loop says that it has something: a descriptor that the reactor watches.
+#pragma once
+
+namespace orchidgw::net {
+
+class Wake {
+ public:
+  Wake();  // throws std::system_error
+  ~Wake();
+  Wake(const Wake&) = delete;
+  Wake& operator=(const Wake&) = delete;
+  int fd() const { return fd_; }  // readable from `ring` until `heard`
+  void ring();
+  void heard();
+
+ private:
+  int fd_;
+};
+
+// First in such a thread: signals are the loop's.
+void leave_signals_to_the_loop();
+
+}  // namespace orchidgw::net
--- a/src/recovery/disk_claim.cpp
+++ b/src/recovery/disk_claim.cpp
@@ -17,26 +17,30 @@
 
 DiskClaim::DiskClaim(const store::StoredOwner& self, std::vector<fleet::KeeperId> voters,
                      const store::Stored& found)
-    : has_log_(!found.empty()), owner_(self), voters_(std::move(voters)) {
+    : owner_(self), voters_(std::move(voters)) {
   if (found.owner) owner_.begun = found.owner->begun;
   // A store of the version before has a log and no owner: it is this keeper's, and has begun.
-  if (has_log_) begin();
+  if (!found.empty()) begin();
 }
 
-void DiskClaim::told(fleet::KeeperId by, const std::vector<fleet::KeeperId>& begun) {
-  if (by == owner_.keeper || std::find(voters_.begin(), voters_.end(), by) == voters_.end()) return;
-  const bool knows = std::find(begun.begin(), begun.end(), owner_.keeper) != begun.end();
-  // What was once known is not taken back: guards against a word from before, late on another connection.
-  knows_me_[by] = knows_me_[by] || knows;
+bool DiskClaim::is_another(fleet::KeeperId keeper) const {
+  return keeper != owner_.keeper && std::find(voters_.begin(), voters_.end(), keeper) != voters_.end();
 }
 
-bool DiskClaim::met(fleet::KeeperId by) {
-  const bool one_of_us = std::find(voters_.begin(), voters_.end(), by) != voters_.end();
-  return one_of_us && owner_.begun.insert(by).second;
+bool DiskClaim::told(fleet::KeeperId by, const std::vector<fleet::KeeperId>& begun) {
+  if (!is_another(by)) return false;
+  const auto knows = [&begun](fleet::KeeperId one) {
+    return std::find(begun.begin(), begun.end(), one) != begun.end();
+  };
+  // What was once known is not taken back: guards against a word from before, late on another connection.
+  knows_me_[by] = knows_me_[by] || knows(owner_.keeper);
+  return knows(by) && met(by);
 }
 
+bool DiskClaim::met(fleet::KeeperId by) { return is_another(by) && owner_.begun.insert(by).second; }
+
 DiskClaim::Verdict DiskClaim::verdict() const {
-  if (has_log_ || owner_.begun.contains(owner_.keeper)) return Verdict::kMay;
+  if (owner_.begun.contains(owner_.keeper)) return Verdict::kMay;
   for (const auto& [keeper, knows] : knows_me_)
     if (knows) return Verdict::kMustNot;
   return waits_for().empty() ? Verdict::kMay : Verdict::kWait;
--- a/src/recovery/disk_claim.h
+++ b/src/recovery/disk_claim.h
@@ -32,8 +32,9 @@
   // `self`: who this keeper is; what it knows comes from `found`.
   DiskClaim(const store::StoredOwner& self, std::vector<fleet::KeeperId> voters, const store::Stored& found);
 
-  void told(fleet::KeeperId by, const std::vector<fleet::KeeperId>& begun);
-  // A word of that keeper's log came: true if it is news that it has begun, to be stored with what follows.
+  // A greeting, or a word of its log, of that keeper: true if it is news that it has begun, to be stored with
+  // what follows.
+  bool told(fleet::KeeperId by, const std::vector<fleet::KeeperId>& begun);
   bool met(fleet::KeeperId by);
   void begin() { owner_.begun.insert(owner_.keeper); }
 
@@ -42,7 +43,8 @@
   const store::StoredOwner& owner() const { return owner_; }
 
  private:
-  bool has_log_;
+  bool is_another(fleet::KeeperId keeper) const;  // of this fleet's
+
   store::StoredOwner owner_;
   std::vector<fleet::KeeperId> voters_;
   std::map<fleet::KeeperId, bool> knows_me_;  // of those that told
--- a/src/recovery/key_book.h
+++ b/src/recovery/key_book.h
@@ -30,7 +30,6 @@
   store::Intent intend(const std::string& identity, TimeUs window, TimeUs now);
   // Serials of the intents whose window is over: forgotten here, to be erased there.
   std::vector<std::uint64_t> over(TimeUs now);
-  std::size_t size() const { return due_.size(); }
 
  private:
   struct Due {
--- a/src/store/intent_store.cpp
+++ b/src/store/intent_store.cpp
@@ -1,7 +1,5 @@
 #include "store/intent_store.h"
 
-#include <cstring>
-
 #include "store/lmdb_environment.h"
 
 namespace orchidgw::store {
@@ -37,29 +35,24 @@
 
 IntentStore::IntentStore(const std::string& folder, std::size_t bytes_most)
     : impl_(std::make_unique<Impl>(folder, bytes_most)) {
-  Transaction txn(impl_->environment.get(), 0);
-  check(mdb_dbi_open(txn.get(), "intents", MDB_CREATE | MDB_INTEGERKEY, &impl_->intents), "intents");
-  txn.commit();
+  naming(folder, [this] {
+    Transaction txn(impl_->environment.get(), 0);
+    check(mdb_dbi_open(txn.get(), "intents", MDB_CREATE | MDB_INTEGERKEY, &impl_->intents), "intents");
+    txn.commit();
+  });
 }
 
 IntentStore::~IntentStore() = default;
 
 std::vector<Intent> IntentStore::load() {
-  std::vector<Intent> out;
-  const Transaction txn(impl_->environment.get(), MDB_RDONLY);
-  MDB_cursor* cursor = nullptr;
-  check(mdb_cursor_open(txn.get(), impl_->intents, &cursor), "intents");
-  const std::unique_ptr<MDB_cursor, void (*)(MDB_cursor*)> closed(cursor, mdb_cursor_close);
-  MDB_val key{};
-  MDB_val value{};
-  int code = mdb_cursor_get(cursor, &key, &value, MDB_FIRST);
-  for (; code == 0; code = mdb_cursor_get(cursor, &key, &value, MDB_NEXT)) {
-    std::uint64_t serial = 0;
-    std::memcpy(&serial, key.mv_data, sizeof serial);
-    out.push_back(intent_of(serial, bytes_of(value)));
-  }
-  if (code != MDB_NOTFOUND) check(code, "intents");
-  return out;
+  return naming(impl_->environment.folder(), [this] {
+    std::vector<Intent> out;
+    const Transaction txn(impl_->environment.get(), MDB_RDONLY);
+    each_record(txn.get(), impl_->intents, "intents", [&out](std::uint64_t serial, std::string_view record) {
+      out.push_back(intent_of(serial, record));
+    });
+    return out;
+  });
 }
 
 void IntentStore::commit(const std::vector<Intent>& put, const std::vector<std::uint64_t>& erase) {
--- a/src/store/lmdb_environment.cpp
+++ b/src/store/lmdb_environment.cpp
@@ -8,6 +8,7 @@
 #include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
+#include <memory>
 #include <utility>
 
 namespace orchidgw::store {
@@ -68,7 +69,7 @@
   return kept;
 }
 
-Environment::Environment(const std::string& folder, std::size_t bytes_most, bool reads) {
+Environment::Environment(const std::string& folder, std::size_t bytes_most, bool reads) : folder_(folder) {
   const auto fail = [this, &folder](const std::string& why) {
     if (env_ != nullptr) mdb_env_close(env_);
     if (lock_ >= 0) ::close(lock_);
@@ -98,6 +99,22 @@
     fail("the file is shorter than what was written");
 }
 
+void each_record(MDB_txn* txn, MDB_dbi table, const char* what,
+                 const std::function<void(std::uint64_t number, std::string_view record)>& take) {
+  MDB_cursor* cursor = nullptr;
+  check(mdb_cursor_open(txn, table, &cursor), what);
+  const std::unique_ptr<MDB_cursor, void (*)(MDB_cursor*)> closed(cursor, mdb_cursor_close);
+  MDB_val key{};
+  MDB_val value{};
+  int code = mdb_cursor_get(cursor, &key, &value, MDB_FIRST);
+  for (; code == 0; code = mdb_cursor_get(cursor, &key, &value, MDB_NEXT)) {
+    std::uint64_t number = 0;
+    std::memcpy(&number, key.mv_data, sizeof number);
+    take(number, bytes_of(value));
+  }
+  if (code != MDB_NOTFOUND) check(code, what);
+}
+
 Environment::~Environment() {
   mdb_env_close(env_);
   ::close(lock_);
--- a/src/store/lmdb_environment.h
+++ b/src/store/lmdb_environment.h
@@ -5,6 +5,7 @@
 #include <lmdb.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,16 @@
 std::string with_sum(const std::string& record);
 std::string_view without_sum(std::string_view kept, const char* what);  // throws where it is another
 
+// Runs `work`; a StoreError out of it names the folder.
+template <typename Work>
+auto naming(const std::string& folder, Work work) {
+  try {
+    return work();
+  } catch (const StoreError& e) {
+    throw StoreError(folder + ": " + e.what(), e.full());
+  }
+}
+
 // One folder's file, of this process alone. Throws StoreError naming the folder and the reason.
 class Environment {
  public:
@@ -37,12 +48,18 @@
   Environment(const Environment&) = delete;
   Environment& operator=(const Environment&) = delete;
   MDB_env* get() const { return env_; }
+  const std::string& folder() const { return folder_; }
 
  private:
+  std::string folder_;
   MDB_env* env_ = nullptr;
   int lock_ = -1;
 };
 
+// Each record of a table with numbers for keys, in their order.
+void each_record(MDB_txn* txn, MDB_dbi table, const char* what,
+                 const std::function<void(std::uint64_t number, std::string_view record)>& take);
+
 // Given up unless it was committed.
 class Transaction {
  public:
--- a/src/store/lmdb_store.cpp
+++ b/src/store/lmdb_store.cpp
@@ -75,10 +75,9 @@
 
 struct LmdbStore::Impl {
   Impl(const std::string& folder, std::size_t bytes_most, bool reads)
-      : environment(folder, bytes_most, reads), env(environment.get()) {}
+      : environment(folder, bytes_most, reads) {}
 
   Environment environment;
-  MDB_env* env;
   MDB_dbi meta = 0;
   MDB_dbi log = 0;
   bool sums = true;  // records carry them
@@ -143,8 +142,8 @@
 LmdbStore::LmdbStore(const std::string& folder, std::size_t bytes_most, Open open)
     : impl_(std::make_unique<Impl>(folder, bytes_most, open == Open::kRead)) {
   const bool reads = open == Open::kRead;
-  try {
-    Transaction txn(impl_->env, reads ? MDB_RDONLY : 0);
+  naming(folder, [&] {
+    Transaction txn(impl_->environment.get(), reads ? MDB_RDONLY : 0);
     const unsigned create = reads ? 0 : MDB_CREATE;
     check(mdb_dbi_open(txn.get(), "meta", create, &impl_->meta), "meta");
     check(mdb_dbi_open(txn.get(), "log", create | MDB_INTEGERKEY, &impl_->log), "log");
@@ -154,37 +153,28 @@
     if (format == 0 && !reads) impl_->put_number(txn.get(), kKeyFormat, kFormat);
     impl_->sums = format != 1;
     txn.commit();
-  } catch (const StoreError& e) {
-    throw StoreError(folder + ": " + e.what(), e.full());
-  }
+  });
 }
 
 LmdbStore::~LmdbStore() = default;
 
 Stored LmdbStore::load() {
-  const Transaction txn(impl_->env, MDB_RDONLY);
-  Stored out;
-  if (const auto record = impl_->get_record(txn.get(), kKeyOwner)) out.owner = owner_of(*record);
-  out.term = impl_->get_number(txn.get(), kKeyTerm);
-  out.vote = impl_->get_number(txn.get(), kKeyVote);
-  if (const auto record = impl_->get_record(txn.get(), kKeySnapshot)) out.snapshot = snapshot_of(*record);
-  MDB_cursor* cursor = nullptr;
-  check(mdb_cursor_open(txn.get(), impl_->log, &cursor), "log");
-  const std::unique_ptr<MDB_cursor, void (*)(MDB_cursor*)> closed(cursor, mdb_cursor_close);
-  MDB_val key{};
-  MDB_val value{};
-  std::uint64_t next = 0;
-  int code = mdb_cursor_get(cursor, &key, &value, MDB_FIRST);
-  for (; code == 0; code = mdb_cursor_get(cursor, &key, &value, MDB_NEXT)) {
-    std::uint64_t index = 0;
-    std::memcpy(&index, key.mv_data, sizeof index);
-    if (out.entries.empty()) out.first = next = index;
-    if (index != next++) throw StoreError("an entry of the log is missing", false);
-    out.entries.push_back(entry_of(impl_->checked(bytes_of(value), "log")));
-  }
-  if (code != MDB_NOTFOUND) check(code, "log");
-  if (out.entries.empty()) out.first = out.snapshot ? out.snapshot->index + 1 : 1;
-  return out;
+  return naming(impl_->environment.folder(), [this] {
+    const Transaction txn(impl_->environment.get(), MDB_RDONLY);
+    Stored out;
+    if (const auto record = impl_->get_record(txn.get(), kKeyOwner)) out.owner = owner_of(*record);
+    out.term = impl_->get_number(txn.get(), kKeyTerm);
+    out.vote = impl_->get_number(txn.get(), kKeyVote);
+    if (const auto record = impl_->get_record(txn.get(), kKeySnapshot)) out.snapshot = snapshot_of(*record);
+    std::uint64_t next = 0;
+    each_record(txn.get(), impl_->log, "log", [&](std::uint64_t index, std::string_view record) {
+      if (out.entries.empty()) out.first = next = index;
+      if (index != next++) throw StoreError("an entry of the log is missing", false);
+      out.entries.push_back(entry_of(impl_->checked(record, "log")));
+    });
+    if (out.entries.empty()) out.first = out.snapshot ? out.snapshot->index + 1 : 1;
+    return out;
+  });
 }
 
 void LmdbStore::set_owner(const StoredOwner& owner) {
@@ -228,7 +218,7 @@
 }
 
 std::optional<StoredSnapshot> LmdbStore::snapshot() {
-  const Transaction txn(impl_->env, MDB_RDONLY);
+  const Transaction txn(impl_->environment.get(), MDB_RDONLY);
   const auto record = impl_->get_record(txn.get(), kKeySnapshot);
   return record ? std::optional(snapshot_of(*record)) : std::nullopt;
 }
@@ -238,7 +228,7 @@
 void LmdbStore::commit() {
   if (impl_->asked.empty()) return;
   const auto asked = std::exchange(impl_->asked, {});
-  Transaction txn(impl_->env, 0);
+  Transaction txn(impl_->environment.get(), 0);
   for (const auto& one : asked) one(txn.get());
   txn.commit();
 }
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -11,6 +11,8 @@
 
 namespace orchidgw::store {
 
+inline constexpr std::uint32_t kCommandEntry = 1;  // carries what was agreed on; others are the log's own
+
 struct StoredEntry {
   std::uint64_t term = 0;
   std::uint32_t type = 0;
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -30,8 +30,8 @@
   int largest = 6;
   int term_ms = 1'500;
   int ramp_ms = 0;
-  std::vector<std::string> tenants = {
-      "acme"};           // each with a route of its own, the clients are theirs in turn
+  // Each with a route of its own; the clients are theirs in turn.
+  std::vector<std::string> tenants = {"acme"};
   int rate = 200;        // of each route, queries a second of all together
   int concurrency = 24;  // likewise, under way
   bool relays = true;    // else controllers reach each other without
--- a/tests/fleet/keys_test.cpp
+++ b/tests/fleet/keys_test.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
-#include <atomic>
 #include <condition_variable>
 #include <filesystem>
 #include <memory>
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -105,7 +105,9 @@
     environment["ORCHIDGW_LIMITS"] = limits_path();
   }
   start(environment, options.words);
-  if (!wait_for_line("listening on")) throw std::runtime_error("the controller did not start: " + log());
+  if (wait_for_line("listening on")) return;
+  end();  // guards against an abort by the reader's thread that hides why
+  throw std::runtime_error("the controller did not start: " + log());
 }
 
 ControllerProcess::ControllerProcess(const std::map<std::string, std::string>& environment,
@@ -113,7 +115,9 @@
   start(environment, words);
 }
 
-ControllerProcess::~ControllerProcess() {
+ControllerProcess::~ControllerProcess() { end(); }
+
+void ControllerProcess::end() {
   if (exit_code_ < 0) {
     ::kill(pid_, SIGKILL);
     wait_exit();
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -66,6 +66,7 @@
  private:
   void start(const std::map<std::string, std::string>& environment, const std::vector<std::string>& words);
   void read_log(int fd);
+  void end();
   std::function<void()> on_output_;
 
   std::string address_;
--- a/tests/recovery/power_loss_test.cpp
+++ b/tests/recovery/power_loss_test.cpp
@@ -10,7 +10,7 @@
 constexpr TimeUs kSecond = 1'000'000;
 constexpr TimeUs kRamp = 5 * kSecond;
 
-// Everyone is started within `spread`; true once a majority of keepers and all members run.
+// Everyone is started within `spread`, in an order of its own.
 void power_on(FleetSimulation& fleet, std::mt19937_64& random, TimeUs spread) {
   std::vector<std::pair<TimeUs, std::size_t>> starts;
   for (std::size_t i = 0; i < fleet.keepers() + fleet.members(); ++i)
