A test of the unread log waits until the log is read before it asks for counters

Cause, measured: with its reader stopped the controller keeps 256 KB beside the pipe's 64 KB (323,471 bytes were read in all); a report of counters asked for while that is full is dropped like any other line, by BoundedOutput::keep_line, and ControllerProcess::counters() waits its 20 s for the report's last line. Played with the signal before the reader: no counter line, 'lines dropped' is there. Ruled out: queries not served (all 600 answers were received). The test now waits for the dropped line, which says that what was kept is out; 900 queries, so that there is one.

--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -262,12 +262,16 @@
   start(kNone);
   controller->stop_reading();
   FrontClient client(controller->address());
-  for (std::int32_t n = 1; n <= 600; ++n) {
+  constexpr std::int32_t kQueries = 900;  // their lines are more than the pipe and the controller keep
+  for (std::int32_t n = 1; n <= kQueries; ++n) {
     client.invoke(n);
     ASSERT_EQ(client.receive().kind, Kind::kServed) << n;
   }
   controller->read_on();
-  EXPECT_TRUE(controller->wait_for_counter("queries.served", 600));
+  // Counters that are asked for before what was kept is read are dropped as any other line: they would be
+  // waited for in vain.
+  ASSERT_TRUE(controller->wait_for_line("lines dropped: nobody read them"));
+  EXPECT_TRUE(controller->wait_for_counter("queries.served", kQueries));
 }
 
 }  // namespace
