--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -47,6 +47,7 @@
   std::vector<StoredEntry> entries;
   // No log, whoever's it is.
   bool empty() const { return term == 0 && !snapshot && entries.empty(); }
+  bool operator==(const Stored&) const = default;
 };
 
 // Nothing of what was asked since the last commit is stored, and all before it is.
