--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The project's tasks. `make run` without BALANCER_CONFIG starts the embedded sample on loopback (README.md).
-.PHONY: build test lint run run-fleet ask bench fuzz loopback-rate service-days levels-on-sockets fleet-sizes
+.PHONY: build test lint run run-fleet ask bench fuzz loopback-rate service-days levels-on-sockets fleet-sizes keys-rate store-sizes
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF
@@ -54,5 +54,17 @@
 	build-rate/tests/orchidgw_fleet_sizes_on_loopback
 	build-rate/bench/orchidgw_fleet_sizes
 
+# What it costs to promise a key before it is sent, on loopback; two and a half minutes.
+keys-rate:
+	cmake -B build-rate -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-rate -j4 --target orchidgw_keys_rate
+	build-rate/tests/orchidgw_keys_rate
+
+# Records a second on the disk, and how long a log takes to be found again.
+store-sizes:
+	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF -DORCHIDGW_BENCH=ON
+	cmake --build build-bench -j4 --target orchidgw_store_sizes
+	build-bench/bench/orchidgw_store_sizes
+
 fuzz:
 	bash tests/fuzz.sh 2000000
--- a/tests/fleet/fleet_harness.cpp
+++ b/tests/fleet/fleet_harness.cpp
@@ -135,6 +135,11 @@
   if (shape_.keys_rest_ms > 0) options.once_deadline_us = shape_.keys_rest_ms * 1'000L;
   options.limits = limits_file();
   options.words = {"--admin", directory_ + "/" + options.name + ".sock"};
+  if (shape_.intents) {
+    const std::string folder = directory_ + "/intents-" + std::to_string(i);
+    std::filesystem::create_directories(folder);
+    options.words.insert(options.words.end(), {"--intents", folder});
+  }
   if (shape_.fleet) {
     options.words.push_back("--fleet");
     options.words.push_back(write_file(options.name + ".fleet.yaml", fleet_file(i)));
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -36,6 +36,7 @@
   int concurrency = 24;  // likewise, under way
   bool relays = true;    // else controllers reach each other without
   bool fleet = true;     // else each is alone, with its even part of the limits
+  bool intents = false;  // each keeps them in a folder of its own
   int keys_rest_ms = 0;  // how long what must not run twice rests, known to all; 0: the fleet keeps no keys
 };
 
