--- a/src/cli/recover_command.cpp
+++ b/src/cli/recover_command.cpp
@@ -39,8 +39,8 @@
     const store::Stored found = store.load();
     const Played played = play(found);
     if (!played.fault.empty()) return fail(folder + ": " + played.fault);
-    const recovery::OneCopy copy = recovery::go_on_from_one_copy(found, played.state, *loaded->fleet,
-                                                                 loaded->controller.name, recover.lost);
+    const recovery::OneCopy copy = recovery::go_on_from_one_copy(
+        found, keeper::voters_of(found), played.state, *loaded->fleet, loaded->controller.name, recover.lost);
     if (!copy.fault.empty()) return fail("fleet recover: " + folder + ": " + copy.fault);
     for (const std::string& line : copy.says) out << line << '\n';
     if (recover.confirm != loaded->fleet->name) {
--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -37,7 +37,8 @@
       further_attempts;  // of all controllers together, in the rules' window; none: not divided
   bool keys = false;     // what must not run twice is known to all of the fleet before it is sent
   std::vector<KeeperPlace> keepers;
-  std::string store;  // a keeper's folder
+  std::string store;     // a keeper's folder
+  bool careful = false;  // a keeper whose store can't be used starts as a member that keeps nothing
 
   const KeeperPlace* keeper_named(const std::string& controller) const {
     for (const KeeperPlace& keeper : keepers)
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -320,6 +320,19 @@
   std::uint64_t append_at = 1;  // index of the next entry that is stored
 };
 
+std::vector<fleet::KeeperId> voters_of(const store::Stored& stored) {
+  for (auto it = stored.entries.rbegin(); it != stored.entries.rend(); ++it)
+    if (it->type == RAFT_CHANGE) return voters_in(it->data);
+  std::vector<fleet::KeeperId> out;
+  raft_configuration configuration;
+  if (!stored.snapshot || !read_configuration(stored.snapshot->configuration, configuration)) return out;
+  for (unsigned i = 0; i < configuration.n; ++i)
+    if (configuration.servers[i].role == RAFT_VOTER)
+      out.push_back(static_cast<fleet::KeeperId>(configuration.servers[i].id));
+  raft_configuration_close(&configuration);
+  return out;
+}
+
 std::string configuration_of(const std::vector<fleet::KeeperId>& voters) {
   raft_configuration configuration;
   raft_configuration_init(&configuration);
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -28,6 +28,9 @@
 // The form in which a snapshot says who votes.
 std::string configuration_of(const std::vector<fleet::KeeperId>& voters);
 
+// Who votes by that log: its newest change of keepers, else its snapshot. Empty: it does not tell.
+std::vector<fleet::KeeperId> voters_of(const store::Stored& stored);
+
 class KeeperError : public std::runtime_error {
  public:
   using std::runtime_error::runtime_error;
--- a/src/keeper/raft_memory.cpp
+++ b/src/keeper/raft_memory.cpp
@@ -1,5 +1,6 @@
 #include "keeper/raft_memory.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 #include <new>
@@ -50,6 +51,27 @@
   return false;
 }
 
+std::vector<fleet::KeeperId> voters_in(std::string_view entry) {
+  const auto number = [&entry] {
+    std::uint64_t out = 0;  // the least byte first
+    for (std::size_t i = 0; i < sizeof out && i < entry.size(); ++i)
+      out |= std::uint64_t{static_cast<unsigned char>(entry[i])} << (8 * i);
+    entry.remove_prefix(std::min(sizeof out, entry.size()));
+    return out;
+  };
+  std::vector<fleet::KeeperId> out;
+  if (entry.empty() || entry[0] != 1) return {};
+  entry.remove_prefix(1);
+  for (std::uint64_t n = number(); n > 0; --n) {
+    const auto id = static_cast<fleet::KeeperId>(number());
+    const auto end = entry.find('\0');
+    if (end == std::string_view::npos || end + 1 >= entry.size()) return {};
+    if (entry[end + 1] == RAFT_VOTER) out.push_back(id);
+    entry.remove_prefix(end + 2);
+  }
+  return out;
+}
+
 LogMessage to_message(const raft_message& m, fleet::KeeperId from) {
   LogMessage out;
   out.kind = static_cast<LogMessage::Kind>(m.type);
--- a/src/keeper/raft_memory.h
+++ b/src/keeper/raft_memory.h
@@ -42,6 +42,9 @@
 bool read_configuration(std::string_view text,
                         raft_configuration& to);  // `to` is to be closed, or given away
 
+// Of an entry in libraft's own form: a 1, how many, and of each its number, its address with a 0, its role.
+std::vector<fleet::KeeperId> voters_in(std::string_view entry);
+
 std::string address_of(raft_id id);
 
 fleet::LogMessage to_message(const raft_message& message, fleet::KeeperId from);
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -189,10 +189,24 @@
   self.incarnation = static_cast<std::uint64_t>(unix_now());  // orders the starts of this name, nothing else
   self.seed = configuration.controller.seed ^ self.incarnation;
   self.listener = listener;
-  fleet_ = std::make_unique<FleetMember>(
-      context_, *configuration.fleet, self, settings_, configuration.limits.get(),
-      [this] { return reducer_.limiter().fleet_use(unix_now()); },
-      [this](core::StartCall call) { send_promised(std::move(call)); });
+  const auto join = [&] {
+    return std::make_unique<FleetMember>(
+        context_, *configuration.fleet, self, settings_, configuration.limits.get(),
+        [this] { return reducer_.limiter().fleet_use(unix_now()); },
+        [this](core::StartCall call) { send_promised(std::move(call)); });
+  };
+  try {
+    fleet_ = join();
+  } catch (const store::StoreError& e) {
+    if (!configuration.fleet->careful) throw;
+    // It greets as no keeper: guards against another one on an empty disk that takes its word for "nobody
+    // knows you", which a store that can't be read does not tell.
+    log_.write(log::Level::kError, log::Component::kFleet,
+               std::string("starts careful, as a member that keeps nothing: ") + e.what());
+    self.keeps = false;
+    self.listener = -1;
+    fleet_ = join();
+  }
   if (promises() != nullptr)
     reducer_.set_keys([this](const std::string& identity) { return verdict(identity); });
   fleet_->engines(reducer_.cores());
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -23,6 +23,19 @@
   return out;
 }
 
+fleet::KeeperId own_id(const fleet::FleetConfig& config, const FleetSelf& self) {
+  const fleet::KeeperPlace* place = config.keeper_named(self.name);
+  return place != nullptr && self.keeps ? place->id : 0;
+}
+
+// Not itself, where it is named and does not keep.
+std::vector<fleet::KeeperId> asked_by(const fleet::FleetConfig& config, const FleetSelf& self) {
+  std::vector<fleet::KeeperId> out = ids_of(config);
+  const fleet::KeeperPlace* place = config.keeper_named(self.name);
+  if (place != nullptr && !self.keeps && out.size() > 1) std::erase(out, place->id);
+  return out;
+}
+
 fleet::Hello hello_of(const fleet::FleetConfig& config, const FleetSelf& self, fleet::KeeperId keeper) {
   return {fleet::kVersion, config.name, config.number, {self.name, self.incarnation}, keeper, {}};
 }
@@ -47,8 +60,8 @@
       config_(config),
       settings_(settings),
       use_(std::move(use)),
-      own_keeper_(config.keeper_named(self.name) != nullptr ? config.keeper_named(self.name)->id : 0),
-      role_({self.name, self.incarnation}, fleet::terms_of(config, settings, limits), ids_of(config),
+      own_keeper_(own_id(config, self)),
+      role_({self.name, self.incarnation}, fleet::terms_of(config, settings, limits), asked_by(config, self),
             self.seed),
       demand_(settings),
       port_(context, config, hello_of(config, self, own_keeper_), self.listener, self.seed,
--- a/src/net/fleet_member.h
+++ b/src/net/fleet_member.h
@@ -24,6 +24,7 @@
   std::uint64_t incarnation = 0;
   std::uint64_t seed = 0;
   int listener = -1;  // of a keeper; owned from here on
+  bool keeps = true;  // where the file names it as a keeper; else it is a member alone
 };
 
 class FleetMember final : public ChannelHandler {
--- a/src/operator_file/fleet_reader.cpp
+++ b/src/operator_file/fleet_reader.cpp
@@ -43,6 +43,11 @@
     Maybe<std::string> store;
     top.word("store", store);
     if (store) to_.store = store->value;
+    Maybe<std::string> bad_store;
+    top.word("bad_store", bad_store);
+    if (bad_store && bad_store->value != "refuse" && bad_store->value != "careful")
+      top.fault(*top.find("bad_store"), "bad_store", "one of these is wanted: refuse, careful");
+    to_.careful = bad_store && bad_store->value == "careful";
     top.finish();
   }
 
--- a/src/recovery/one_copy.cpp
+++ b/src/recovery/one_copy.cpp
@@ -16,7 +16,8 @@
 }
 
 // Guards against two logs that both grant: each of these is a way to have the other keepers go on, too.
-std::string fault_of(const store::Stored& found, const fleet::FleetConfig& config, const std::string& self,
+std::string fault_of(const store::Stored& found, const std::vector<fleet::KeeperId>& voters,
+                     const fleet::FleetConfig& config, const std::string& self,
                      const std::vector<fleet::KeeperId>& lost) {
   if (found.empty()) return "there is no log in it";
   if (!found.owner) return "it does not say whose it is: it was written by an earlier version";
@@ -32,7 +33,8 @@
   if (config.keepers.size() != 1)
     return "the fleet's file has to name " + self +
            " as its only keeper: others would begin a log of their own";
-  std::set<fleet::KeeperId> others(found.owner->begun.begin(), found.owner->begun.end());
+  if (voters.empty()) return "its log does not tell who keeps it";
+  std::set<fleet::KeeperId> others(voters.begin(), voters.end());
   others.erase(place->id);
   if (others != std::set<fleet::KeeperId>(lost.begin(), lost.end()))
     return "--lost has to name all others that have kept this log: " + list(others);
@@ -41,11 +43,11 @@
 
 }  // namespace
 
-OneCopy go_on_from_one_copy(const store::Stored& found, const fleet::State& state,
-                            const fleet::FleetConfig& config, const std::string& self,
-                            const std::vector<fleet::KeeperId>& lost) {
+OneCopy go_on_from_one_copy(const store::Stored& found, const std::vector<fleet::KeeperId>& voters,
+                            const fleet::State& state, const fleet::FleetConfig& config,
+                            const std::string& self, const std::vector<fleet::KeeperId>& lost) {
   OneCopy out;
-  out.fault = fault_of(found, config, self, lost);
+  out.fault = fault_of(found, voters, config, self, lost);
   if (!out.fault.empty()) return out;
   out.owner = {config.name, config.number, found.owner->keeper, {found.owner->keeper}};
   out.term = found.term + 1;
--- a/src/recovery/one_copy.h
+++ b/src/recovery/one_copy.h
@@ -23,10 +23,10 @@
   fleet::State state;
 };
 
-// `found`: of this keeper's disk, `state`: what it leads to. `config`: of the file that is to hold from now
-// on. `lost`: as the operator names them.
-OneCopy go_on_from_one_copy(const store::Stored& found, const fleet::State& state,
-                            const fleet::FleetConfig& config, const std::string& self,
-                            const std::vector<fleet::KeeperId>& lost);
+// `found`: of this keeper's disk, `voters`: by its log, `state`: what it leads to. `config`: of the file that
+// is to hold from now on. `lost`: as the operator names them.
+OneCopy go_on_from_one_copy(const store::Stored& found, const std::vector<fleet::KeeperId>& voters,
+                            const fleet::State& state, const fleet::FleetConfig& config,
+                            const std::string& self, const std::vector<fleet::KeeperId>& lost);
 
 }  // namespace orchidgw::recovery
--- a/src/store/lmdb_environment.cpp
+++ b/src/store/lmdb_environment.cpp
@@ -115,11 +115,13 @@
     fail("the file is shorter than its pages, and can't be made longer: " +
          std::string(std::strerror(errno)));
   // Its own list of free pages, which reading needs nothing of and the first commit all: said now, not then.
-  naming(folder, [this] {
+  try {
     constexpr MDB_dbi kFree = 0;
     const Transaction txn(env_, MDB_RDONLY);
     each_record(txn.get(), kFree, "free pages", [](std::uint64_t, std::string_view) {});
-  });
+  } catch (const StoreError& e) {
+    fail(e.what());
+  }
 }
 
 void each_record(MDB_txn* txn, MDB_dbi table, const char* what,
--- a/tests/fleet/fleet_harness.cpp
+++ b/tests/fleet/fleet_harness.cpp
@@ -105,6 +105,7 @@
         << "'}\n";
   }
   if (shape_.keys_rest_ms > 0) out << "keys: {scope: fleet}\n";
+  if (shape_.careful) out << "bad_store: careful\n";
   if (shape_.ramp_ms > 0) out << "return: {ramp: " << shape_.ramp_ms << "ms}\n";
   if (i < shape_.keepers) out << "store: " << directory_ << "/store-" << i << "\n";
   out << "...\n";
@@ -202,6 +203,15 @@
   return {code, command.log()};
 }
 
+std::string FleetHarness::say_start(int i) {
+  try {
+    start(i);
+  } catch (const std::exception& e) {
+    return e.what();
+  }
+  return "";
+}
+
 void FleetHarness::lose_store(int i) {
   std::filesystem::remove_all(store(i));
   std::filesystem::create_directory(store(i));
@@ -318,6 +328,8 @@
     if (answer.kind != FrontAnswer::Kind::kServed) std::this_thread::sleep_for(kThinkTime);
     const std::lock_guard lock(clients_mutex_);
     ++counts_.asked;
+    asked_at_.push_back(boot_us());
+    addresses_changed_.notify_all();
     if (answer.kind == FrontAnswer::Kind::kServed)
       ++counts_.served;
     else if (answer.kind == FrontAnswer::Kind::kRefused)
@@ -371,6 +383,20 @@
                 std::string("insert into ") + kOnceTable);
 }
 
+std::pair<std::vector<std::int64_t>, std::vector<std::int64_t>> FleetHarness::times() {
+  const std::lock_guard clients(clients_mutex_);
+  const std::lock_guard engines(engine_mutex_);
+  std::vector<std::int64_t> admitted;
+  for (const auto& [tenant, at] : admitted_at_) admitted.insert(admitted.end(), at.begin(), at.end());
+  return {asked_at_, admitted};
+}
+
+bool FleetHarness::wait_served(long more) {
+  std::unique_lock lock(clients_mutex_);
+  return addresses_changed_.wait_for(lock, kLongTime,
+                                     [&, until = counts_.served + more] { return counts_.served >= until; });
+}
+
 long FleetHarness::admitted() {
   const std::lock_guard lock(engine_mutex_);
   long sum = 0;
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -36,6 +36,7 @@
   int concurrency = 24;  // likewise, under way
   bool relays = true;    // else controllers reach each other without
   bool fleet = true;     // else each is alone, with its even part of the limits
+  bool careful = false;  // a keeper with a bad store starts all the same
   bool intents = false;  // each keeps them in a folder of its own
   int keys_rest_ms = 0;  // how long what must not run twice rests, known to all; 0: the fleet keeps no keys
 };
@@ -51,7 +52,8 @@
   void kill_all();   // SIGKILL to all before any is waited for
   // One that does not run goes on alone from its own copy: the others are lost. Its exit code and output.
   std::pair<int, std::string> recover(int i, const std::vector<std::string>& words);
-  void lose_store(int i);  // of a keeper that does not run: its folder is empty
+  void lose_store(int i);        // of a keeper that does not run: its folder is empty
+  std::string say_start(int i);  // of one whose start is to be refused: what it said
   std::string store(int i) const { return directory_ + "/store-" + std::to_string(i); }
   void pause(int i);  // SIGSTOP
   void go_on(int i);  // SIGCONT
@@ -82,6 +84,9 @@
   bool wait_starts(const std::string& reference, std::size_t n);
   void hold_engines(bool on);  // they answer nothing until it is over
   std::string address(int i) { return at(i).address(); }
+  // When clients had an answer, or none, and when engines were asked to start something.
+  std::pair<std::vector<std::int64_t>, std::vector<std::int64_t>> times();
+  bool wait_served(long more);   // of the clients, than now
   long admitted();               // by the engines
   int most_running();            // of one tenant at one time, over all engines
   bool rate_held(double burst);  // of no tenant more than rate x time since the first start + burst
@@ -128,6 +133,7 @@
   std::map<int, std::string> addresses_;  // of live controllers
   std::vector<std::thread> clients_;
   Counts counts_;
+  std::vector<std::int64_t> asked_at_;
 };
 
 }  // namespace orchidgw::integration
--- a/tests/fleet/parts_test.cpp
+++ b/tests/fleet/parts_test.cpp
@@ -252,6 +252,7 @@
         Bad{"keepers:\n", "keeper: 1\nkeepers:\n", "keeper", 6},
         Bad{"keepers:\n", "keys: {scope: all}\nkeepers:\n", "keys.scope", 6},
         Bad{"keepers:\n", "keys: {}\nkeepers:\n", "keys.scope", 6},
+        Bad{"keepers:\n", "bad_store: go_on\nkeepers:\n", "bad_store", 6},
         Bad{"revision: 1\n", "revision: 1\ndivision: {cut_off: 90%, reserve: 10%}\n", "division", 4},
         Bad{"7201}\n", "7201}\n  - {id: 1, name: c1, address: 127.0.0.1:7202}\n", "keepers", 7},
         Bad{"largest: 4", "largest: 4\nfurther_attempts: many", "further_attempts", 5},
--- a/tests/fleet/power_loss_test.cpp
+++ b/tests/fleet/power_loss_test.cpp
@@ -2,6 +2,8 @@
 // them without their disks. Both sides are counted as in the other stories.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <fstream>
 #include <sstream>
 
 #include "fleet_harness.h"
@@ -111,5 +113,74 @@
   EXPECT_EQ(fleet.audit().fault, "");
 }
 
+// A keeper's store is damaged, at each of a list of places: its start is refused with a line that names the
+// folder, or it starts careful, as the file says; the others go on, and the sum holds.
+class DamagedStore : public ::testing::Test {
+ protected:
+  static FleetShape shape(bool careful) {
+    FleetShape out;
+    out.controllers = 4;
+    out.keepers = 3;
+    out.term_ms = 600;
+    out.careful = careful;
+    return out;
+  }
+  static void write(const std::string& path, const std::string& bytes) {
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+  }
+  static std::string read(const std::string& path) {
+    std::ostringstream out;
+    out << std::ifstream(path, std::ios::binary).rdbuf();
+    return out.str();
+  }
+};
+
+TEST_F(DamagedStore, IsRefusedWithALineAtEachPlaceAndTheOthersGoOn) {
+  FleetHarness fleet(shape(false));
+  fleet.start_all();
+  ASSERT_TRUE(fleet.wait_divided({0, 1, 2, 3}));
+  fleet.traffic();
+  fleet.kill(0);
+  const std::string file = fleet.store(0) + "/data.mdb";
+  const std::string good = read(file);
+  std::vector<std::string> damaged = {good.substr(0, 1), good.substr(0, 4'096), good.substr(0, 8'192),
+                                      "not a store at all" + std::string(20'000, 'x')};
+  std::string spoilt = good;
+  std::fill_n(spoilt.begin(), 8'192, '\xff');  // both roots
+  damaged.push_back(spoilt);
+  spoilt = good;
+  for (std::size_t at = good.find("test"); at != std::string::npos; at = good.find("test", at + 1))
+    spoilt[at] = 'T';  // whose it is, in each copy of the record
+  damaged.push_back(spoilt);
+  for (std::size_t n = 0; n < damaged.size(); ++n) {
+    write(file, damaged[n]);
+    const std::string said = fleet.say_start(0);
+    EXPECT_NE(said.find("orchidgw: " + fleet.store(0) + ": "), std::string::npos) << n << ": " << said;
+  }
+  write(file, good);
+  fleet.start(0);
+  EXPECT_TRUE(fleet.wait_divided({0, 1, 2, 3}));
+  fleet.stop_traffic();
+  EXPECT_TRUE(fleet.rate_held(10 + 10));
+  EXPECT_EQ(fleet.audit().fault, "");
+}
+
+TEST_F(DamagedStore, StartsCarefulWhereTheFileSaysSo) {
+  FleetHarness fleet(shape(true));
+  fleet.start_all();
+  ASSERT_TRUE(fleet.wait_divided({0, 1, 2, 3}));
+  fleet.kill(0);
+  write(fleet.store(0) + "/data.mdb", "not a store at all" + std::string(20'000, 'x'));
+  fleet.start(0);
+  EXPECT_TRUE(fleet.wait_line(0, "starts careful, as a member that keeps nothing: " + fleet.store(0)));
+  EXPECT_TRUE(fleet.wait_divided({0, 1, 2, 3}));
+  // It does not count as a copy: with one more gone there is no majority.
+  fleet.kill(1);
+  EXPECT_TRUE(fleet.wait_line(3, "no lease: the cut-off part alone is used"));
+  fleet.start(1);
+  EXPECT_TRUE(fleet.wait_divided({0, 1, 2, 3}));
+  EXPECT_EQ(fleet.audit().fault, "");
+}
+
 }  // namespace
 }  // namespace orchidgw::integration
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -81,6 +81,7 @@
   std::thread reader_;
   mutable std::mutex mutex_;
   std::condition_variable changed_;
+  bool over_ = false;  // it writes no more
   bool reading_ = true;
   std::string log_;
 };
