--- a/tests/fleet/fleet_keys_test.cpp
+++ b/tests/fleet/fleet_keys_test.cpp
@@ -99,6 +99,26 @@
   EXPECT_EQ(fleet->starts()[kLoad].size(), 1U);
 }
 
+// A keeper is away while more is promised than the log keeps behind its snapshot; it comes back, one of the
+// others is lost with its disk: with what it was sent it is the second copy.
+TEST_F(FleetKeys, AKeeperThatComesBackLateCatchesUpAndCountsAsACopy) {
+  begin(shape_of(4, 3));
+  fleet->kill(2);
+  std::string last;
+  for (int n = 0; n < 400; ++n) {
+    last = std::to_string(3'000'000'000'000'000 + n);
+    ASSERT_EQ(ask_until_taken(3, last), Kind::kServed) << n;
+  }
+  fleet->start(2);
+  ASSERT_TRUE(fleet->wait_line(2, "leased component"));
+  fleet->kill(0);
+  fleet->lose_store(0);
+  EXPECT_EQ(ask_until_taken(1, last), Kind::kFailed);
+  EXPECT_EQ(fleet->starts()[last].size(), 1U);
+  EXPECT_EQ(ask_until_taken(2, "00000000000000a2"), Kind::kServed);
+  EXPECT_EQ(fleet->audit().fault, "");
+}
+
 // Two of three keepers are lost with their disks: an operator has the third go on alone, and is told before
 // what that may lose. What it knew to rest rests still, and what it could not know is waited out.
 TEST_F(FleetKeys, AnOperatorGoesOnFromOneCopyOfThree) {
