--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -65,6 +65,7 @@
 void Reducer::withdraw_from_those_leaving() {
   for (auto& [id, query] : queries_) {
     for (const AttemptState& a : query.attempts) {
+      if (a.phase != Phase::kRunning) continue;
       const auto it = engines_.find(a.engine);
       if (it == engines_.end() || it->second.entry.state != EngineState::kInService) withdraw_unsent(a);
     }
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -17,6 +17,7 @@
 constexpr TimeUs kMs = 1000;
 constexpr TimeUs kHoldMost = 500 * kMs, kHoldLeast = 100 * kMs;
 constexpr TimeUs kAnswerGraceMost = 500 * kMs, kAnswerGraceLeast = 50 * kMs;
+constexpr TimeUs kBehindFor = 10'000 * kMs;  // what a log has to tell is in it 7 s later at the latest
 constexpr TimeUs kBackoffFirst = 50 * kMs, kBackoffMost = 250 * kMs;
 
 // A watch falls silent without a sign, and what the log has to tell counts as told meanwhile: hold, grace and
@@ -133,11 +134,19 @@
 }
 
 // Guards against a log that lost its events and numbers them anew: asked for what comes after a number that
-// it will not reach for long, it tells nothing. It is asked for the whole list; the last good one stays till
-// then.
+// it will not reach for long, it tells nothing. It is asked for the whole list once it was behind for longer
+// than a log that is merely late: that one must not take back what the configuration has told since. The last
+// good list stays till then.
 bool ChangeLog::went_back(const config::FleetChanges& changes) {
-  if (changes.last == 0 || changes.last >= last_) return false;
+  if (changes.last == 0 || changes.last >= last_) {
+    behind_since_ = 0;
+    return false;
+  }
+  const TimeUs now = unix_now();
+  if (behind_since_ == 0) behind_since_ = now;
+  if (now - behind_since_ < kBehindFor) return false;
   context_.log.write(log::Level::kWarn, "change log: it is behind what it told before, listed anew");
+  behind_since_ = 0;
   last_ = 0;
   return true;
 }
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -61,7 +61,8 @@
   TimeUs hold_;          // the log answers a question after so long, news or not
   TimeUs answer_grace_;  // an answer so long past its hold doesn't come any more: the watch is silent
   TimeUs backoff_most_;
-  TimeUs backoff_ = 0;  // the last one, before its jitter; 0: the last question was answered
+  TimeUs behind_since_ = 0;  // its answers end before what is known; 0: they don't
+  TimeUs backoff_ = 0;       // the last one, before its jitter; 0: the last question was answered
   std::minstd_rand jitter_;
   std::uint64_t last_ = 0;
   State state_ = State::kClosed;
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -64,9 +64,8 @@
     if (!least || rank(*client) < rank(*least)) least = client;
   }
   // What it said in this moment is read: then it keeps its place, and who comes waits for the next look.
-  if (!least || !least->still_quiet()) return false;
-  least->close(core::ConnectionEnd::kMadeRoom);
-  return true;
+  if (least && least->still_quiet()) least->close(core::ConnectionEnd::kMadeRoom);
+  return clients_.size() < limits_.clients;
 }
 
 // Guards against running out of descriptors or buffers: who is not accepted waits in the system's line.
--- a/tests/integration/crossings_test.cpp
+++ b/tests/integration/crossings_test.cpp
@@ -235,8 +235,9 @@
       silent.way = HttpReply::Way::kSilent;
       return silent;
     }
-    return n->fetch_add(1) == 0 ? reply(200, {}, R"({"seq":9,"results":[]})")
-                                : reply(200, {}, R"({"seq":2,"results":[]})");
+    if (n->fetch_add(1) == 0) return reply(200, {}, R"({"seq":9,"results":[]})");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));  // it holds the question
+    return reply(200, {}, R"({"seq":2,"results":[]})");
   });
   options.change_log = log.address();
   start();
@@ -283,6 +284,19 @@
   std::filesystem::remove_all(directory);
 }
 
+// As `run` in deploy/balancer.toml starts it: a reload before the program's first instruction is passed over,
+// one while it serves is heard.
+TEST_F(Crossing, AReloadIsHeardWhereTheShellIgnoresItsSignal) {
+  const auto before = ::signal(SIGHUP, SIG_IGN);
+  start();
+  ::signal(SIGHUP, before);
+  ChangeLogStandIn next;
+  options.change_log = next.address();
+  controller->configure(options);
+  controller->signal(SIGHUP);
+  EXPECT_TRUE(next.server().wait_for("GET", "/changes"));
+}
+
 // --- Floods -----------------------------------------------------------------------------------------------
 
 TEST_F(Crossing, IdleClientsFillTheirPlacesWhileDiscoveryIsDownAndItsReturnIsHeard) {
