Tests: a controller that does not start says why before a test with threads aborts

FleetKeys.NothingRunsTwiceOverPowerLossesOfAll ended with 'terminate called without an active exception' once in the ASan suite (565 of 566 green, 423 s), and passed 12 of 12 times after, three side by side among them: cause not found, the reason was lost.

--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <stdexcept>
 
@@ -112,6 +113,8 @@
   start(environment, options.words);
   if (wait_for_line("listening on")) return;
   end();  // guards against an abort by the reader's thread that hides why
+  std::cerr << "the controller did not start: " << log()
+            << std::endl;  // a test with threads of its own aborts
   throw std::runtime_error("the controller did not start: " + log());
 }
 
--- a/tests/integration/front_door_test.cpp
+++ b/tests/integration/front_door_test.cpp
@@ -316,7 +316,7 @@
   for (std::int32_t i = 2; i <= 5; ++i) write(socket, invoke(i));
   write(socket, abort(3));  // has not been taken: nobody else hears of it
   write(socket, abort(1));  // was taken before
-  run_until([this] { return count<core::RequestAborted>() == 1; });
+  ASSERT_TRUE(run_until([this] { return count<core::RequestAborted>() == 1; }));
   EXPECT_EQ(std::get<core::RequestAborted>(events.back()).tag, 1);
   EXPECT_EQ(count<core::RequestArrived>(), 0U);
   EXPECT_FALSE(door->empty());
