Names and fixtures: a constant gets its name back, one fixture for the program beside stand-ins

Found on reading the change again; behaviour as before. - client_connection.cpp: the bound on one frame was renamed by mistake with the totals of all clients (kClientTotalsMost); it is kFrameBytesMost again. - event_queue.cpp: two unnamed namespaces one after the other are one. - controller.cpp: the comment at read_first said that sends for clients that had left were a fault; that was ruled out. - crossings_test and controller_test each had the fixture, the usual answers and descriptors_of: tests/integration/running_fixture.h has them once. No assertion changed.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -12,7 +12,7 @@
 
 using core::ConnectionEnd;
 
-constexpr std::size_t kClientTotalsMost = 64UL * 1024;  // of a request
+constexpr std::size_t kFrameBytesMost = 64UL * 1024;  // of a request
 constexpr int kReadsAtOnce = 8;                    // of one buffer each, lest one client hold up the others
 constexpr std::size_t kUnsentMost = 512UL * 1024;  // of answers: then nothing more is read
 constexpr TimeUs kFrameWithin = 2'000'000;  // from its first byte; the first one from the connection's start
@@ -54,7 +54,7 @@
       totals_(totals),
       ready_(std::move(ready)),
       closed_(std::move(closed)),
-      frames_(kClientTotalsMost),
+      frames_(kFrameBytesMost),
       out_(context.pool),
       moved_at_(unix_now()),
       frame_begun_at_(moved_at_) {
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -142,8 +142,8 @@
 }
 
 // Guards against acting on what was known before this process stood still: the poll calls a turn before what
-// it found is read, and timers that came due meanwhile sent to engines whose drain lay unread, and for
-// clients whose close did; a watch whose answer lay unread was taken for silent.
+// it found is read, and timers that came due meanwhile sent to engines whose drain lay unread; a watch whose
+// answer lay unread was taken for silent.
 TimeUs Controller::read_first() {
   ++counters_.late_turns;
   attention_.loop_waits(0);
--- a/src/net/event_queue.cpp
+++ b/src/net/event_queue.cpp
@@ -13,10 +13,6 @@
   return request ? request->statement.size() : 0;
 }
 
-}  // namespace
-
-namespace {
-
 // What two list changes come to, one after the other.
 void add_to(core::EnginesChanged& so_far, core::EnginesChanged&& next) {
   if (next.kind != ListKind::kDelta) {
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -12,10 +12,9 @@
 namespace {
 
 constexpr TimeUs kSweepEvery = 100'000;
-constexpr TimeUs kSettled = 100'000;  // a connection so long without a byte has none on the way
-constexpr TimeUs kLookEvery =
-    20'000;  // for paused clients that left: well within what an attempt may be late by
-constexpr TimeUs kLingerFor = 1'000'000;    // a client that was told of the end ends its side meanwhile
+constexpr TimeUs kSettled = 100'000;      // a connection so long without a byte has none on the way
+constexpr TimeUs kLookEvery = 20'000;     // for paused clients that left: an attempt after it is soon a break
+constexpr TimeUs kLingerFor = 1'000'000;  // a client that was told of the end ends its side meanwhile
 constexpr std::size_t kLingerBesides = 16;  // descriptors: so many beside those of the clients' part
 
 }  // namespace
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -8,24 +8,14 @@
 #include <filesystem>
 #include <set>
 
-#include "change_log_stand_in.h"
-#include "controller_process.h"
 #include "front_client.h"
-#include "http_stand_in.h"
+#include "running_fixture.h"
 
 namespace orchidgw::integration {
 namespace {
 
 using Kind = FrontAnswer::Kind;
 
-HttpReply reply(int status, std::map<std::string, std::string> headers = {}, std::string body = "") {
-  HttpReply r;
-  r.status = status;
-  r.headers = std::move(headers);
-  r.body = std::move(body);
-  return r;
-}
-
 HttpReply way(HttpReply::Way how, std::string raw = "") {
   HttpReply r;
   r.way = how;
@@ -33,14 +23,6 @@
   return r;
 }
 
-HttpReply served(const std::string& rows, int pages = 1) {
-  return reply(200, {{"X-Pages", std::to_string(pages)}, {"X-Cost-Ms", "5"}, {"X-Needed-Mb", "4"}}, rows);
-}
-
-HttpReply serve_all(const HttpCall& call) {
-  return call.method == "DELETE" ? reply(204) : served("a\tb\tc\n");
-}
-
 // The largest result there may be.
 HttpReply serve_eight_pages(const HttpCall& call) {
   const std::string page = std::string(5997, 'x') + "\t\t\n";
@@ -48,28 +30,8 @@
   return reply(200, {{"X-Page", call.path.substr(call.path.size() - 1)}}, page);
 }
 
-std::size_t descriptors_of(pid_t pid) {
-  std::size_t n = 0;
-  for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd")) {
-    n += entry.path().empty() ? 0 : 1;
-  }
-  return n;
-}
-
-// One of each, wired together; tests add engines.
-class Running : public ::testing::Test {
+class Running : public RunningFixture {
  protected:
-  HttpStandIn& engine(HttpStandIn::Script script) {
-    engines.push_back(std::make_unique<HttpStandIn>(std::move(script)));
-    options.members.push_back(member("s-" + std::to_string(engines.size() - 1), engines.back()->address()));
-    return *engines.back();
-  }
-
-  void start() {
-    if (options.change_log == "127.0.0.1:1") options.change_log = change_log.address();
-    controller = std::make_unique<ControllerProcess>(options);
-  }
-
   FrontAnswer ask(const std::map<std::string, std::string>& more = {}) {
     FrontClient client(controller->address());
     client.invoke(1, more);
@@ -86,10 +48,6 @@
   }
 
   std::string asked;  // the reference of the last query
-  ChangeLogStandIn change_log;
-  std::vector<std::unique_ptr<HttpStandIn>> engines;
-  ControllerOptions options;
-  std::unique_ptr<ControllerProcess> controller;
 };
 
 TEST_F(Running, ServesAQueryOfSeveralPages) {
--- a/tests/integration/crossings_test.cpp
+++ b/tests/integration/crossings_test.cpp
@@ -10,64 +10,25 @@
 #include <fstream>
 #include <thread>
 
-#include "change_log_stand_in.h"
-#include "controller_process.h"
 #include "front_client.h"
-#include "http_stand_in.h"
+#include "running_fixture.h"
 
 namespace orchidgw::integration {
 namespace {
 
 using Kind = FrontAnswer::Kind;
 
-HttpReply reply(int status, std::map<std::string, std::string> headers = {}, std::string body = "") {
-  HttpReply r;
-  r.status = status;
-  r.headers = std::move(headers);
-  r.body = std::move(body);
-  return r;
-}
-
-HttpReply served() {
-  return reply(200, {{"X-Pages", "1"}, {"X-Cost-Ms", "5"}, {"X-Needed-Mb", "4"}}, "a\tb\tc\n");
-}
-
 HttpReply full() { return reply(503, {{"Not-Begun", "1"}}); }
 
-HttpReply serve_all(const HttpCall& call) { return call.method == "DELETE" ? reply(204) : served(); }
-
 // Runs on until it is given up.
 HttpReply never_over(const HttpCall& call) { return call.method == "DELETE" ? reply(204) : reply(202); }
 
-std::size_t descriptors_of(pid_t pid) {
-  std::size_t n = 0;
-  for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd"))
-    n += entry.path().empty() ? 0 : 1;
-  return n;
-}
-
-class Crossing : public ::testing::Test {
+class Crossing : public RunningFixture {
  protected:
-  HttpStandIn& engine(HttpStandIn::Script script) {
-    engines.push_back(std::make_unique<HttpStandIn>(std::move(script)));
-    options.members.push_back(member("s-" + std::to_string(engines.size() - 1), engines.back()->address()));
-    return *engines.back();
-  }
-
-  void start() {
-    if (options.change_log == "127.0.0.1:1") options.change_log = change_log.address();
-    controller = std::make_unique<ControllerProcess>(options);
-  }
-
   void expect_nothing_open() {
     EXPECT_TRUE(controller->wait_for_counter("queries.open", 0));
     EXPECT_TRUE(controller->wait_for_counter("calls.open", 0));
   }
-
-  ChangeLogStandIn change_log;
-  std::vector<std::unique_ptr<HttpStandIn>> engines;
-  ControllerOptions options;
-  std::unique_ptr<ControllerProcess> controller;
 };
 
 // --- A process that stood still ---------------------------------------------------------------------------
--- /dev/null
+++ b/tests/integration/running_fixture.h
@@ -0,0 +1,64 @@
+// The program beside stand-ins for its engines and its change log, and what engines usually answer.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <sys/types.h>
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "change_log_stand_in.h"
+#include "controller_process.h"
+#include "http_stand_in.h"
+
+namespace orchidgw::integration {
+
+inline HttpReply reply(int status, std::map<std::string, std::string> headers = {}, std::string body = "") {
+  HttpReply r;
+  r.status = status;
+  r.headers = std::move(headers);
+  r.body = std::move(body);
+  return r;
+}
+
+inline HttpReply served(const std::string& rows, int pages = 1) {
+  return reply(200, {{"X-Pages", std::to_string(pages)}, {"X-Cost-Ms", "5"}, {"X-Needed-Mb", "4"}}, rows);
+}
+
+inline HttpReply serve_all(const HttpCall& call) {
+  return call.method == "DELETE" ? reply(204) : served("a\tb\tc\n");
+}
+
+inline std::size_t descriptors_of(pid_t pid) {
+  std::size_t n = 0;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd")) {
+    n += entry.path().empty() ? 0 : 1;
+  }
+  return n;
+}
+
+// One of each, wired together; tests add engines.
+class RunningFixture : public ::testing::Test {
+ protected:
+  HttpStandIn& engine(HttpStandIn::Script script) {
+    engines.push_back(std::make_unique<HttpStandIn>(std::move(script)));
+    options.members.push_back(member("s-" + std::to_string(engines.size() - 1), engines.back()->address()));
+    return *engines.back();
+  }
+
+  void start() {
+    if (options.change_log == "127.0.0.1:1") options.change_log = change_log.address();
+    controller = std::make_unique<ControllerProcess>(options);
+  }
+
+  ChangeLogStandIn change_log;
+  std::vector<std::unique_ptr<HttpStandIn>> engines;
+  ControllerOptions options;
+  std::unique_ptr<ControllerProcess> controller;
+};
+
+}  // namespace orchidgw::integration
