Keys of a fleet: what was given up is said to be free with each want of its key

Cause: a query that has no promise in time is refused; the keepers may agree on its key all the same, and the word that it is free went into one ask alone. Where that ask was lost (the keeper was lost, the member hung up on a slow one, another leads), the word came again only after half a term; whoever asked again before was answered "failed" by the rest of a query that never ran, after a refusal that had called another try harmless (KeyHolder::next, given_up).

Also: no loopback port is handed out twice by a test process. One draw in thousands was that of a killed keeper, which then could not come back; suspected of the one abort under ASan, not measured.

--- a/src/promises/key_holder.h
+++ b/src/promises/key_holder.h
@@ -3,12 +3,14 @@
 //
 // All that a turn wants goes in one ask. What is not answered in time is asked for again, and an answer to
 // any of the asks counts, by the time of that ask. Past `patience` it is given up: nothing was sent, so that
-// is harmless; what the keepers may still give rests in vain until its time is over.
+// is harmless. What the keepers may still give is freed: that is said until it is heard, and with each want
+// of the same identity, so that no want of ours is agreed on before it.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "promises/keys.h"
@@ -33,7 +35,7 @@
   bool stuck(TimeUs now) const { return now < stuck_until_; }
   void want(TimeUs now, Ticket ticket, Want want);
   bool drop(Ticket ticket);  // false: it does not wait
-  void free(Free free);
+  void free(const Free& free);
 
   // What is to be sent now, if anything is.
   std::optional<KeyAsk> next(TimeUs now);
@@ -53,15 +55,18 @@
     std::vector<Ticket> tickets;
     std::vector<Free> free;
   };
+  using Freed = std::map<std::pair<std::string, std::uint64_t>, TimeUs>;  // by identity and query: when said
   TimeUs patience() const;
   TimeUs repeat_after() const;
+  void say_freed(TimeUs now, KeyAsk& ask);
 
   MemberKey self_;
   TimeUs term_ = 0;
   std::uint64_t last_seq_ = 0;
   std::map<Ticket, Waiting> waiting_;
   std::map<std::uint64_t, Flight> flights_;  // by seq
-  std::deque<Free> free_;                    // to be told
+  Freed freed_;                              // until a keeper has heard it
+  TimeUs freed_due_ = 0;                     // not later than the first of those times
   TimeUs stuck_until_ = 0;
 };
 
--- a/tests/fleet/fleet_harness.cpp
+++ b/tests/fleet/fleet_harness.cpp
@@ -11,6 +11,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "net/admin_socket.h"
+
 namespace orchidgw::integration {
 namespace {
 
@@ -280,6 +282,23 @@
   return wait_until([&] { return at(i).log().find(part) != std::string::npos; });
 }
 
+long FleetHarness::keys_given(int keeper) {
+  const std::string status = net::ask_admin(admin(keeper), "fleet status\n");
+  const std::string before = " given ";  // in the keeper's line
+  const auto line = status.find("keys rest ");
+  const auto at = line == std::string::npos ? line : status.find(before, line);
+  return at == std::string::npos ? -1 : std::stol(status.substr(at + before.size()));
+}
+
+bool FleetHarness::wait_keys_given(int keeper, long more_than) {
+  const auto until = std::chrono::steady_clock::now() + kLongTime;
+  while (std::chrono::steady_clock::now() < until) {
+    if (keys_given(keeper) > more_than) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return false;
+}
+
 int FleetHarness::leader() {
   int found = -1;
   wait_until([&] {
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -68,7 +68,9 @@
   // Waits until those hold leases that sum to all there is to lease. False after a long time.
   bool wait_divided(const std::vector<int>& among);
   bool wait_line(int i, const std::string& part);  // until the process wrote such a line since its start
-  int leader();                                    // waits for a keeper that leads; -1 after a long time
+  long keys_given(int keeper);                     // since the log began, by that keeper's status
+  bool wait_keys_given(int keeper, long more_than);
+  int leader();  // waits for a keeper that leads; -1 after a long time
   std::int64_t newest_part(int i, const std::string& allowance);
 
   // Clients that ask each live controller without pause until `stop_traffic`, three of each and so many times
--- a/tests/fleet/fleet_keys_test.cpp
+++ b/tests/fleet/fleet_keys_test.cpp
@@ -86,6 +86,27 @@
   EXPECT_GE(starts[1] - starts[0], kRestMs * 1'000);
 }
 
+// A keeper agrees on a key whose query was refused meanwhile, for want of an answer; the word that it is free
+// is lost with the connection. Who asks again is served: a refusal said that this is harmless.
+TEST_F(FleetKeys, AKeyGivenTooLateForItsQueryDoesNotTurnTheNextOneAway) {
+  FleetShape shape = shape_of(2, 1);
+  shape.term_ms = 2'400;  // a promise is waited for half of it: less than the client waits
+  begin(shape);
+  Relay& way = fleet->relay(1, 0);
+  FrontClient client(fleet->address(1));
+  way.set(Relay::Fault::kHoldBack);
+  const long given = fleet->keys_given(0);
+  fleet->ask_once(client, 1, kLoad);
+  ASSERT_TRUE(fleet->wait_keys_given(0, given));
+  way.set(Relay::Fault::kHold);
+  EXPECT_EQ(client.receive().kind, Kind::kRefused);
+  way.set(Relay::Fault::kCut);
+  EXPECT_EQ(FrontClient(way.address()).receive().kind, Kind::kClosed);  // it has cut what was there
+  way.set(Relay::Fault::kNone);
+  EXPECT_EQ(ask_until_taken(1, kLoad), Kind::kServed);
+  EXPECT_EQ(fleet->starts()[kLoad].size(), 1U);
+}
+
 // A keeper, then the leading one with its disk, are lost while the key rests: the rest of them know.
 TEST_F(FleetKeys, TheLeaderAndItsDiskAreLostAndTheKeyIsKnown) {
   begin(shape_of(4, 3));
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -12,6 +12,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -29,13 +31,18 @@
          std::to_string(1 + (pid & kByte) % 254);
 }
 
-// A port that is free now; the controller opens it next.
 }  // namespace
 
+// Guards against the port of a process that was killed and is to come back on it: none is given twice.
 std::string free_address() {
-  Poco::Net::ServerSocket probe;
-  probe.bind(Poco::Net::SocketAddress(own_host() + ":0"), true);
-  return probe.address().toString();
+  static std::mutex mutex;
+  static std::set<std::string> given;
+  const std::lock_guard lock(mutex);
+  while (true) {
+    Poco::Net::ServerSocket probe;
+    probe.bind(Poco::Net::SocketAddress(own_host() + ":0"), true);
+    if (given.insert(probe.address().toString()).second) return probe.address().toString();
+  }
 }
 
 namespace {
--- a/tests/promises/keys_test.cpp
+++ b/tests/promises/keys_test.cpp
@@ -245,6 +245,52 @@
   EXPECT_EQ(table.apply({{}, false, {ask_of(6, {{9, "k", 5}})}})[0].wants[0], Told::kGiven);
 }
 
+// The keepers agreed on a want whose query was refused since, and never heard that it is free: the next query
+// of that key is not turned away by it, whichever of the words was lost.
+TEST(Keys, WhatWasGivenUpIsSaidToBeFreeWithEachWantOfItsKeyUntilThatIsHeard) {
+  KeyTable table;
+  table.apply({{}, true, {}});
+  KeyHolder holder({"c", 1});
+  holder.set_term(terms().term);
+  holder.want(0, 7, {7, "k", kRest});
+  table.apply({{}, false, {*holder.next(0)}});
+  const TimeUs given_up = terms().term / kSendPart;
+  ASSERT_EQ(holder.given_up(given_up).size(), 1U);
+  holder.free({7, "k"});
+  ASSERT_EQ(holder.next(given_up)->free.size(), 1U);  // lost
+  holder.want(given_up + 1, 8, {8, "other", kRest});
+  EXPECT_TRUE(holder.next(given_up + 1)->free.empty());
+  holder.want(given_up + 2, 9, {9, "k", kRest});
+  ASSERT_EQ(holder.next(given_up + 2)->free.size(), 1U);  // lost, too
+  const auto again = holder.next(given_up + 2 + terms().term / 10);
+  const auto told = table.apply({{}, false, {*again}});
+  const auto verdicts = holder.answered(given_up + 3 + terms().term / 10, told[0]);
+  ASSERT_EQ(verdicts.size(), 2U);
+  EXPECT_EQ(verdicts[1].told, Told::kGiven);
+  holder.want(given_up + terms().term, 10, {10, "k", kRest});
+  EXPECT_TRUE(holder.next(given_up + terms().term)->free.empty());  // it was heard
+}
+
+// More than fit into one ask: all are said, and none is lost behind those that were said before.
+TEST(Keys, ManyFreedAreSaidInAsManyAsksAsTheyNeed) {
+  KeyHolder holder({"c", 1});
+  holder.set_term(terms().term);
+  constexpr std::uint64_t kMany = 700;
+  for (std::uint64_t n = 0; n < kMany; ++n) holder.free({n, "k" + std::to_string(n)});
+  const auto said = [&](TimeUs now) {
+    std::size_t count = 0;
+    while (const auto ask = holder.next(now)) {
+      EXPECT_LE(ask->free.size(), 256U);
+      count += ask->free.size();
+    }
+    return count;
+  };
+  EXPECT_EQ(said(0), kMany);
+  EXPECT_EQ(said(1), 0U);
+  EXPECT_LE(holder.next_due(), terms().term / kSendPart);
+  EXPECT_EQ(said(terms().term / kSendPart), kMany);
+}
+
 TEST(Keys, PastTheBoundNothingIsGivenAndWhatRestsStays) {
   KeyTable table;
   table.apply({{}, true, {}});
