Tests: power lost within a reload; a mutant for the word that a key is free

Five controllers under load, a smaller whole: one of them, all keepers, or all have the file when all are killed; the others have it after their return.

--- a/tests/budget/mutants.sh
+++ b/tests/budget/mutants.sh
@@ -32,6 +32,7 @@
   "promises/key_table.cpp|rest.number = ++last_number_;|if (rest.number == 0) rest.number = ++last_number_;|the end of an older rest ends a newer one"
   "promises/key_table.cpp|if (!settled_|if (false|a new log takes no key for resting"
   "promises/key_holder.cpp|now - flight.sent_at > patience()|false|a promise is acted on however late it comes"
+  "promises/key_holder.cpp|if (it->first.first != want.identity|if (true|what was given up is not said to be free with a want of its key"
   "promises/key_watch.cpp|surely_over_after(rest + terms.term,|surely_over_after(rest,|the time between promise and send is left out"
   "promises/key_watch.cpp|settles_at_ = led_at_ + over_after(terms.longest_rest, terms);|settles_at_ = led_at_;|a lost log is not waited out"
 )
--- a/tests/fleet/power_loss_test.cpp
+++ b/tests/fleet/power_loss_test.cpp
@@ -78,6 +78,45 @@
                          ::testing::Values(std::vector<int>{0, 1, 2, 3, 4}, std::vector<int>{4, 3, 2, 1, 0},
                                            std::vector<int>{3, 1, 4, 0, 2}));
 
+// The operators make a whole smaller. Power is lost in the moment in which so many of them have the file, and
+// perhaps have read it; the others have it only after their return.
+class PowerLossWithinAReload : public ::testing::TestWithParam<int> {};
+
+TEST_P(PowerLossWithinAReload, TheSumHoldsAndTheNewWholeIsFollowed) {
+  FleetShape shape;
+  shape.controllers = kControllers;
+  shape.keepers = 3;
+  FleetHarness fleet(shape);
+  fleet.start_all();
+  ASSERT_TRUE(fleet.wait_divided({0, 1, 2, 3, 4}));
+  fleet.traffic();
+  FleetShape smaller = shape;
+  smaller.rate = 80;
+  smaller.concurrency = 12;
+  fleet.change(smaller, 2, GetParam());
+  if (GetParam() == kControllers) {
+    ASSERT_TRUE(fleet.wait_line(0, "revision 2 "));
+  }
+  fleet.kill_all();
+  fleet.start_all();
+  fleet.change(smaller, 2);
+  for (int i = 0; i < kControllers; ++i) EXPECT_TRUE(fleet.wait_line(i, "revision 2 ")) << i;
+  EXPECT_TRUE(fleet.wait_divided({0, 1, 2, 3, 4}));
+  const auto counts = fleet.stop_traffic();
+  EXPECT_GT(counts.served, 0);
+  EXPECT_EQ(counts.asked, counts.served + counts.refused + counts.failed + counts.lost);
+  EXPECT_LE(counts.served, fleet.admitted());
+  EXPECT_LE(fleet.most_running(), shape.concurrency);
+  std::int64_t sum = 0;
+  for (int i = 0; i < kControllers; ++i) sum += fleet.newest_part(i, "rate/acme");
+  EXPECT_LT(sum, 80'000);
+  EXPECT_GT(sum, 40'000);
+  EXPECT_EQ(fleet.audit().fault, "");
+}
+
+// A keeper alone, all keepers, all.
+INSTANTIATE_TEST_SUITE_P(Files, PowerLossWithinAReload, ::testing::Values(1, 3, 5));
+
 class LostDisk : public PowerLossOfAll {};
 
 // Its vote on an empty disk would be a second one: two of three are then no majority.
