--- a/src/net/promises.cpp
+++ b/src/net/promises.cpp
@@ -26,7 +26,7 @@
   return true;
 }
 
-void Promises::free(core::FreeKey key) { holder_.free({key.query, std::move(key.identity)}); }
+void Promises::free(core::FreeKey key) { holder_.let_go({key.query, std::move(key.identity)}); }
 
 void Promises::check(TimeUs now, TimeUs term) {
   holder_.set_term(term);
--- a/src/promises/key_holder.cpp
+++ b/src/promises/key_holder.cpp
@@ -27,7 +27,7 @@
 bool KeyHolder::drop(Ticket ticket) { return waiting_.erase(ticket) > 0; }
 
 // Past the bound a key rests in vain: that is safe.
-void KeyHolder::free(const Free& free) {
+void KeyHolder::let_go(const Free& free) {
   if (freed_.size() >= kFreedMost) return;
   freed_[{free.identity, free.query}] = 0;
   freed_due_ = 0;
--- a/src/promises/key_holder.h
+++ b/src/promises/key_holder.h
@@ -35,7 +35,7 @@
   bool stuck(TimeUs now) const { return now < stuck_until_; }
   void want(TimeUs now, Ticket ticket, Want want);
   bool drop(Ticket ticket);  // false: it does not wait
-  void free(const Free& free);
+  void let_go(const Free& free);
 
   // What is to be sent now, if anything is.
   std::optional<KeyAsk> next(TimeUs now);
--- a/tests/fleet/keys_rate.cpp
+++ b/tests/fleet/keys_rate.cpp
@@ -75,7 +75,7 @@
   FleetHarness fleet(shape);
   fleet.start_all();
   fleet.wait_line(4, "stage full");
-  for (const int clients : {1, 8}) {
+  for (const int clients : {1, 8, 32, 64}) {
     play(fleet, clients, true).print((std::string(what) + ", keyed").c_str(), clients);
     play(fleet, clients, false).print((std::string(what) + ", safe").c_str(), clients);
   }
--- a/tests/integration/http_stand_in.cpp
+++ b/tests/integration/http_stand_in.cpp
@@ -33,22 +33,32 @@
   if (stopped_.exchange(true)) return;
   acceptor_.join();
   server_.close();
-  std::vector<std::thread> threads;
+  std::map<int, Served> served;
   {
     const std::lock_guard lock(mutex_);
-    for (auto& socket : sockets_) {
+    for (auto& [number, one] : served_) {
       try {
-        socket.setLinger(true, 0);
-        socket.shutdownReceive();
+        one.socket.setLinger(true, 0);
+        one.socket.shutdownReceive();
       } catch (const Poco::Exception&) {
         continue;  // closed already
       }
     }
-    threads.swap(threads_);
+    served.swap(served_);
     changed_.notify_all();
   }
-  for (auto& thread : threads) thread.join();
-  sockets_.clear();
+  for (auto& [number, one] : served) one.thread.join();
+}
+
+// Guards against a measurement that ends at as many connections as there are descriptors.
+void HttpStandIn::let_go_of_ended() {
+  std::vector<Served> ended;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const int number : std::exchange(ended_, {}))
+      ended.push_back(std::move(served_.extract(number).mapped()));
+  }
+  for (Served& one : ended) one.thread.join();
 }
 
 void HttpStandIn::accept_all() {
@@ -58,9 +68,14 @@
     if (!server_.poll(slice, Poco::Net::Socket::SELECT_READ)) continue;
     Poco::Net::StreamSocket socket = server_.acceptConnection();
     socket.setNoDelay(true);
+    let_go_of_ended();
     const std::lock_guard lock(mutex_);
-    sockets_.push_back(socket);
-    threads_.emplace_back([this, socket, n = ++number] { serve(socket, n); });
+    std::thread thread([this, socket, n = ++number] {
+      serve(socket, n);
+      const std::lock_guard at_its_end(mutex_);
+      ended_.push_back(n);
+    });
+    served_.emplace(number, Served{socket, std::move(thread)});
   }
 }
 
--- a/tests/integration/http_stand_in.h
+++ b/tests/integration/http_stand_in.h
@@ -54,6 +54,7 @@
  private:
   void accept_all();
   void serve(Poco::Net::StreamSocket socket, int number);
+  void let_go_of_ended();
   bool reply(Poco::Net::StreamSocket& socket, const HttpReply& reply);
 
   Script script_;
@@ -64,8 +65,12 @@
   std::condition_variable changed_;
   std::vector<HttpCall> calls_;
   int replies_ = 0;
-  std::vector<Poco::Net::StreamSocket> sockets_;
-  std::vector<std::thread> threads_;
+  struct Served {
+    Poco::Net::StreamSocket socket;
+    std::thread thread;
+  };
+  std::map<int, Served> served_;  // by connection
+  std::vector<int> ended_;        // of those: their threads are about to end
   std::thread acceptor_;
 };
 
--- a/tests/keeper/fleet_simulation.h
+++ b/tests/keeper/fleet_simulation.h
@@ -272,7 +272,7 @@
       if (verdict.told != promises::Told::kGiven) continue;
       const std::string& key = node.mapped();
       if (random_() % 4 == 0) {  // it could not be sent
-        at.keys->free({verdict.ticket, key});
+        at.keys->let_go({verdict.ticket, key});
         continue;
       }
       ++keys_sent_;
--- a/tests/promises/keys_test.cpp
+++ b/tests/promises/keys_test.cpp
@@ -126,7 +126,7 @@
   void free_one(std::size_t h) {
     if (holders_[h].unsent.empty()) return;
     const auto node = holders_[h].unsent.extract(holders_[h].unsent.begin());
-    holders_[h].keys->free({node.key(), node.mapped()});
+    holders_[h].keys->let_go({node.key(), node.mapped()});
     ++freed;
   }
   void answered(const KeyTold& told) {
@@ -256,7 +256,7 @@
   table.apply({{}, false, {*holder.next(0)}});
   const TimeUs given_up = terms().term / kSendPart;
   ASSERT_EQ(holder.given_up(given_up).size(), 1U);
-  holder.free({7, "k"});
+  holder.let_go({7, "k"});
   ASSERT_EQ(holder.next(given_up)->free.size(), 1U);  // lost
   holder.want(given_up + 1, 8, {8, "other", kRest});
   EXPECT_TRUE(holder.next(given_up + 1)->free.empty());
@@ -276,7 +276,7 @@
   KeyHolder holder({"c", 1});
   holder.set_term(terms().term);
   constexpr std::uint64_t kMany = 700;
-  for (std::uint64_t n = 0; n < kMany; ++n) holder.free({n, "k" + std::to_string(n)});
+  for (std::uint64_t n = 0; n < kMany; ++n) holder.let_go({n, "k" + std::to_string(n)});
   const auto said = [&](TimeUs now) {
     std::size_t count = 0;
     while (const auto ask = holder.next(now)) {
