--- a/tests/fleet/fleet_harness.cpp
+++ b/tests/fleet/fleet_harness.cpp
@@ -437,24 +437,16 @@
   return {asked_at_, admitted};
 }
 
-bool FleetHarness::wait_refused(long more) {
-  const auto refused = [this] {
-    const std::lock_guard lock(clients_mutex_);
-    return counts_.refused;
-  };
-  const long before = refused();
-  const auto until = std::chrono::steady_clock::now() + kLongTime;
-  while (refused() < before + more && std::chrono::steady_clock::now() < until)
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  return refused() >= before + more;
-}
-
-bool FleetHarness::wait_served(long more) {
+bool FleetHarness::wait_answered(long Counts::*kind, long more) {
   std::unique_lock lock(clients_mutex_);
   return addresses_changed_.wait_for(lock, kLongTime,
-                                     [&, until = counts_.served + more] { return counts_.served >= until; });
+                                     [&, until = counts_.*kind + more] { return counts_.*kind >= until; });
 }
 
+bool FleetHarness::wait_refused(long more) { return wait_answered(&Counts::refused, more); }
+
+bool FleetHarness::wait_served(long more) { return wait_answered(&Counts::served, more); }
+
 long FleetHarness::admitted() {
   const std::lock_guard lock(engine_mutex_);
   long sum = 0;
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -101,6 +101,8 @@
   Audit audit();
 
  private:
+  std::vector<std::string> members() const;  // as the list has them now
+  bool wait_answered(long Counts::*kind, long more);
   bool wait_until(const std::function<bool()>& holds);
   int end(int i, int signal);
   HttpReply engine(const HttpCall& call);
@@ -118,7 +120,6 @@
   std::map<std::pair<int, int>, std::unique_ptr<Relay>> relays_;
   ChangeLogStandIn change_log_;
   std::vector<std::unique_ptr<HttpStandIn>> engines_;
-  std::vector<std::string> members() const;  // as the list has them now
   bool engines_there_ = true;
   long engines_since_ms_ = 0;
   std::map<int, std::unique_ptr<ControllerProcess>> processes_;
--- a/tests/fleet/fleet_keys_test.cpp
+++ b/tests/fleet/fleet_keys_test.cpp
@@ -50,8 +50,25 @@
     for (; kind == Kind::kRefused; kind = ask(i, reference)) client_pause();
     return kind;
   }
+  // So many, one after the other.
+  void serve_at_3(int loads) {
+    for (int n = 0; n < loads; ++n) {
+      last = std::to_string(3'000'000'000'000'000 + n);
+      ASSERT_EQ(ask_until_taken(3, last), Kind::kServed) << n;
+    }
+  }
+  // Of three keepers two are left: the last of those loads rests, another one is served.
+  void expect_known_without_keeper_0() {
+    fleet->kill(0);
+    fleet->lose_store(0);
+    EXPECT_EQ(ask_until_taken(1, last), Kind::kFailed);
+    EXPECT_EQ(fleet->starts()[last].size(), 1U);
+    EXPECT_EQ(ask_until_taken(2, "00000000000000a2"), Kind::kServed);
+    EXPECT_EQ(fleet->audit().fault, "");
+  }
   static void client_pause() { std::this_thread::sleep_for(std::chrono::milliseconds(5)); }
   std::optional<FleetHarness> fleet;
+  std::string last;
 };
 
 const std::string kLoad = "00000000000000a1";
@@ -125,19 +142,10 @@
 TEST_F(FleetKeys, AKeeperThatComesBackLateCatchesUpAndCountsAsACopy) {
   begin(shape_of(4, 3));
   fleet->kill(2);
-  std::string last;
-  for (int n = 0; n < 400; ++n) {
-    last = std::to_string(3'000'000'000'000'000 + n);
-    ASSERT_EQ(ask_until_taken(3, last), Kind::kServed) << n;
-  }
+  ASSERT_NO_FATAL_FAILURE(serve_at_3(400));
   fleet->start(2);
   ASSERT_TRUE(fleet->wait_line(2, "leased component"));
-  fleet->kill(0);
-  fleet->lose_store(0);
-  EXPECT_EQ(ask_until_taken(1, last), Kind::kFailed);
-  EXPECT_EQ(fleet->starts()[last].size(), 1U);
-  EXPECT_EQ(ask_until_taken(2, "00000000000000a2"), Kind::kServed);
-  EXPECT_EQ(fleet->audit().fault, "");
+  expect_known_without_keeper_0();
 }
 
 // A keeper's machine is set up again from a copy of its disk, and its fleet goes on meanwhile: the keeper
@@ -148,22 +156,13 @@
   fleet->copy_store(1);
   fleet->start(1);
   ASSERT_TRUE(fleet->wait_line(1, "leased component"));
-  std::string last;
-  for (int n = 0; n < 50; ++n) {
-    last = std::to_string(3'000'000'000'000'000 + n);
-    ASSERT_EQ(ask_until_taken(3, last), Kind::kServed) << n;
-  }
+  ASSERT_NO_FATAL_FAILURE(serve_at_3(50));
   fleet->kill(1);
   fleet->put_back_store(1);
   fleet->start(1);
   ASSERT_TRUE(fleet->wait_line(1, "leased component"));
   EXPECT_EQ(ask_until_taken(3, "00000000000000a3"), Kind::kServed);
-  fleet->kill(0);
-  fleet->lose_store(0);
-  EXPECT_EQ(ask_until_taken(1, last), Kind::kFailed);
-  EXPECT_EQ(fleet->starts()[last].size(), 1U);
-  EXPECT_EQ(ask_until_taken(2, "00000000000000a2"), Kind::kServed);
-  EXPECT_EQ(fleet->audit().fault, "");
+  expect_known_without_keeper_0();
 }
 
 // Two of three keepers are lost with their disks: an operator has the third go on alone, and is told before
