--- /dev/null
+++ b/tests/faults/fault_library.cpp
@@ -0,0 +1,187 @@
+// Preloaded into controller processes by the tests: steps their wall clock and fails their system calls.
+// Calls the kernel directly, so that it works before the C library and a sanitizer's interceptors are set up.
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <iterator>
+#include <span>
+
+#include "fault_page.h"
+
+namespace orchidgw::faults {
+namespace {
+
+constexpr std::int64_t kUsPerSecond = 1'000'000;
+constexpr std::int64_t kNsPerUs = 1000;
+constexpr std::int64_t kUsPerMs = 1000;
+constexpr std::uint64_t kMillion = 1'000'000;
+
+struct WallStep {
+  std::int64_t by_us = 0;
+  std::int64_t at_us = 0;  // on the monotonic clock
+};
+
+std::int64_t monotonic_us() {
+  timespec now{};
+  ::syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
+  return now.tv_sec * kUsPerSecond + now.tv_nsec / kNsPerUs;
+}
+
+FaultPage* map_page() {
+  const char* path = std::getenv(kPageVariable);
+  if (path == nullptr) return nullptr;
+  const int fd = ::open(path, O_RDWR | O_CLOEXEC);
+  if (fd < 0) return nullptr;
+  void* at = ::mmap(nullptr, sizeof(FaultPage), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  ::close(fd);
+  return at == MAP_FAILED ? nullptr : static_cast<FaultPage*>(at);
+}
+
+FaultPage* page() {
+  static FaultPage* const mapped = map_page();
+  return mapped;
+}
+
+WallStep read_step() {
+  const char* text = std::getenv(kWallStepVariable);
+  if (text == nullptr) return {};
+  char* end = nullptr;
+  const std::int64_t by = std::strtoll(text, &end, 10);
+  const std::int64_t after_ms = *end == '@' ? std::strtoll(end + 1, nullptr, 10) : 0;
+  return {by, monotonic_us() + after_ms * kUsPerMs};
+}
+
+std::int64_t wall_offset_us() {
+  static const WallStep step = read_step();
+  std::int64_t offset = page() == nullptr ? 0 : page()->wall_offset_us.load();
+  if (step.by_us != 0 && monotonic_us() >= step.at_us) offset += step.by_us;
+  return offset;
+}
+
+// A sequence of its own in each process, the same for the same seed and calls.
+std::uint64_t next_random() {
+  static std::atomic<std::uint64_t> state{page()->seed.load() * 0x9e3779b97f4a7c15ULL};
+  std::uint64_t x = state.fetch_add(0x9e3779b97f4a7c15ULL) + 0x9e3779b97f4a7c15ULL;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+bool strikes(CallFault fault) {
+  if (page() == nullptr) return false;
+  const auto index = static_cast<std::size_t>(fault);
+  const std::uint32_t rate = page()->per_million[index].load();
+  if (rate == 0 || next_random() % kMillion >= rate) return false;
+  page()->made[index].fetch_add(1);
+  return true;
+}
+
+int fail_with_one_of(std::span<const int> errors) {
+  errno = errors[next_random() % errors.size()];
+  return -1;
+}
+
+bool interrupted() {
+  if (!strikes(CallFault::kInterrupted)) return false;
+  errno = EINTR;
+  return true;
+}
+
+std::size_t shortened(std::size_t size) {
+  if (size < 2 || !strikes(CallFault::kShortTransfer)) return size;
+  return 1 + next_random() % (size - 1);
+}
+
+bool is_network_socket(int fd) {
+  int domain = 0;
+  socklen_t size = sizeof domain;
+  return ::getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == AF_INET;
+}
+
+}  // namespace
+}  // namespace orchidgw::faults
+
+using orchidgw::faults::CallFault;
+
+extern "C" {
+
+int clock_gettime(clockid_t clock, timespec* out) {
+  const long failed = ::syscall(SYS_clock_gettime, clock, out);
+  if (failed != 0) return -1;
+  if (clock != CLOCK_REALTIME && clock != CLOCK_REALTIME_COARSE) return 0;
+  std::int64_t us = out->tv_nsec / orchidgw::faults::kNsPerUs + orchidgw::faults::wall_offset_us();
+  std::int64_t seconds = us / orchidgw::faults::kUsPerSecond;
+  us %= orchidgw::faults::kUsPerSecond;
+  if (us < 0) {
+    us += orchidgw::faults::kUsPerSecond;
+    --seconds;
+  }
+  out->tv_sec += seconds;
+  out->tv_nsec = us * orchidgw::faults::kNsPerUs + out->tv_nsec % orchidgw::faults::kNsPerUs;
+  return 0;
+}
+
+int gettimeofday(timeval* out, void*) noexcept {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  out->tv_sec = now.tv_sec;
+  out->tv_usec = now.tv_nsec / orchidgw::faults::kNsPerUs;
+  return 0;
+}
+
+time_t time(time_t* out) noexcept {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  if (out != nullptr) *out = now.tv_sec;
+  return now.tv_sec;
+}
+
+int epoll_wait(int fd, epoll_event* events, int most, int timeout_ms) {
+  if (orchidgw::faults::interrupted()) return -1;
+  return static_cast<int>(::syscall(SYS_epoll_pwait, fd, events, most, timeout_ms, nullptr, 0));
+}
+
+ssize_t recv(int fd, void* into, size_t size, int flags) {
+  constexpr int kErrors[] = {ETIMEDOUT, EHOSTUNREACH, ECONNRESET};
+  if (orchidgw::faults::interrupted()) return -1;
+  if (orchidgw::faults::is_network_socket(fd) && orchidgw::faults::strikes(CallFault::kReceiveFails)) {
+    ::shutdown(fd, SHUT_RDWR);  // the other side sees an end as well
+    return orchidgw::faults::fail_with_one_of(kErrors);
+  }
+  return ::syscall(SYS_recvfrom, fd, into, orchidgw::faults::shortened(size), flags, nullptr, nullptr);
+}
+
+ssize_t send(int fd, const void* from, size_t size, int flags) {
+  if (orchidgw::faults::interrupted()) return -1;
+  return ::syscall(SYS_sendto, fd, from, orchidgw::faults::shortened(size), flags, nullptr, 0);
+}
+
+int accept4(int fd, sockaddr* peer, socklen_t* size, int flags) {
+  constexpr int kErrors[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM};
+  if (orchidgw::faults::interrupted()) return -1;
+  if (orchidgw::faults::strikes(CallFault::kAcceptFails)) return orchidgw::faults::fail_with_one_of(kErrors);
+  return static_cast<int>(::syscall(SYS_accept4, fd, peer, size, flags));
+}
+
+int connect(int fd, const sockaddr* to, socklen_t size) {
+  constexpr int kErrors[] = {EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EAGAIN};
+  if (orchidgw::faults::strikes(CallFault::kConnectFails)) return orchidgw::faults::fail_with_one_of(kErrors);
+  return static_cast<int>(::syscall(SYS_connect, fd, to, size));
+}
+
+int socket(int domain, int type, int protocol) noexcept {
+  constexpr int kErrors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
+  if (domain == AF_INET && orchidgw::faults::strikes(CallFault::kSocketFails))
+    return orchidgw::faults::fail_with_one_of(kErrors);
+  return static_cast<int>(::syscall(SYS_socket, domain, type, protocol));
+}
+
+}  // extern "C"
--- a/tests/integration/controller_process.cpp
+++ b/tests/integration/controller_process.cpp
@@ -17,6 +17,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "faults/fault_switch.h"
+
 namespace orchidgw::integration {
 namespace {
 
@@ -79,6 +81,21 @@
 
 }  // namespace
 
+namespace {
+
+using Environment = std::map<std::string, std::string>;
+
+// Every controller of a test run has its wall clock stepped where the run's own environment asks for it.
+Environment with_wall_step(Environment environment) {
+  const char* step = std::getenv(faults::kWallStepVariable);
+  if (step == nullptr || environment.count(faults::kPageVariable) > 0) return environment;
+  environment.merge(faults::preload_environment());
+  environment[faults::kWallStepVariable] = step;
+  return environment;
+}
+
+}  // namespace
+
 std::string config_of(const ControllerOptions& options) { return config_json(options, free_address()); }
 
 std::string member(const std::string& id, const std::string& address, const std::string& phase,
@@ -113,6 +130,7 @@
   }
   std::map<std::string, std::string> environment = {{"BALANCER_CONFIG", directory_ + "/config.json"},
                                                     {"BALANCER_NAME", options.name}};
+  environment.insert(options.environment.begin(), options.environment.end());
   if (!options.limits.empty()) {
     write_limits(options.limits);
     environment["ORCHIDGW_LIMITS"] = limits_path();
@@ -152,7 +170,7 @@
   posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
   posix_spawn_file_actions_addclosefrom_np(&actions, 3);  // else the stand-ins' ports stay open in there
   std::vector<std::string> words;
-  for (const auto& [key, value] : environment) words.push_back(key + "=" + value);
+  for (const auto& [key, value] : with_wall_step(environment)) words.push_back(key + "=" + value);
   std::vector<char*> env;
   for (auto& word : words) env.push_back(word.data());
   env.push_back(nullptr);
--- a/tests/integration/controller_process.h
+++ b/tests/integration/controller_process.h
@@ -29,6 +29,7 @@
   long connect_timeout_us = 250'000;   // likewise
   long drain_grace_us = 1'000'000;     // likewise
   std::function<void()> on_output;     // something was read of its standard error; from a thread of its own
+  std::map<std::string, std::string> environment;  // beside the configuration's
 };
 
 // A loopback address of this process's own that is free now.
--- /dev/null
+++ b/tests/integration/stepped_clock_test.cpp
@@ -0,0 +1,135 @@
+// A controller whose wall clock is stepped, and starts that are overtaken by time on their way (incident 39,
+// docs/incidents/stepped-clock.md): what may be repeated, answered and sent goes by real time.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "faults/fault_switch.h"
+#include "front_client.h"
+#include "running_fixture.h"
+
+namespace orchidgw::integration {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Kind = FrontAnswer::Kind;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kSecondUs = 1'000'000;
+constexpr std::int64_t kHourUs = 3600 * kSecondUs;
+constexpr milliseconds kRepeatWindow{1500};
+constexpr milliseconds kNewsHold{100};
+
+// A class that every engine deduplicates for 1.5 s, and one that may be repeated at will.
+constexpr const char* kSettings =
+    R"({"balancers":1,"me":0,"myZone":"z","classes":[)"
+    R"({"name":"load","aim":8000000,"deadline":10000000,"effect":"deduplicated","keyScope":"all",)"
+    R"("repeatWindow":1500000,"value":1},)"
+    R"({"name":"lookup","aim":600000,"deadline":10000000,"effect":"idempotent","value":1}],)"
+    R"("domain":{"dop":[1,1],"sizeCores":[8],"kindMemoryMb":[16384],"bills":true},"shapes":["std"],)"
+    R"("policyLimits":{"maxAttempts":3,"cancel":true,"retryAfter":true,"maxRetryAfter":500000,)"
+    R"("connectTimeout":3000000},"rules":{"stopSendingWithin":1000000},)"
+    R"("tenants":[{"name":"acme","portion":1,"quotaPerS":100}]})";
+
+HttpReply not_yet() {
+  std::this_thread::sleep_for(kNewsHold);
+  return reply(202);
+}
+
+std::map<std::string, std::string> load(const std::string& wait_ms, const std::string& effort_ms) {
+  return {{"service", "load"},
+          {"replay", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"},
+          {"allow", wait_ms},
+          {"effort", effort_ms}};
+}
+
+class SteppedClock : public RunningFixture {
+ protected:
+  void start_with_faults() {
+    options.settings = kSettings;
+    options.environment = faults.environment();
+    start();
+  }
+
+  faults::FaultSwitch faults;
+};
+
+// The incident: the engine ends the attempt with an error that says nothing of its effect, after its window.
+TEST_F(SteppedClock, AKeyedQueryIsNotRepeatedAfterItsWindowThoughTheWallClockWentBack) {
+  std::atomic<bool> window_is_over{false};
+  HttpStandIn& only = engine([&](const HttpCall& call) {
+    if (call.method == "DELETE") return reply(204);
+    return window_is_over ? reply(500) : not_yet();
+  });
+  start_with_faults();
+  FrontClient client(controller->address());
+  client.invoke(1, load("8000", "2500"));
+  ASSERT_TRUE(only.wait_for("POST", "/v2/q"));
+  faults.step_wall_clock(-kHourUs);
+  std::this_thread::sleep_for(kRepeatWindow + milliseconds(300));
+  window_is_over = true;
+  EXPECT_EQ(client.receive().kind, Kind::kRefused);  // every engine drops a repeat: another try is harmless
+  EXPECT_EQ(only.count("POST"), 1);
+}
+
+TEST_F(SteppedClock, AnAnswerIsGivenByTheDeadlineThoughTheWallClockWentBack) {
+  HttpStandIn& only =
+      engine([](const HttpCall& call) { return call.method == "DELETE" ? reply(204) : not_yet(); });
+  start_with_faults();
+  FrontClient client(controller->address());
+  const auto begun = Clock::now();
+  client.invoke(1, load("1000", "2500"));
+  ASSERT_TRUE(only.wait_for("POST", "/v2/q"));
+  faults.step_wall_clock(-3 * kSecondUs);
+  EXPECT_EQ(client.receive().kind, Kind::kRefused);
+  EXPECT_LT(Clock::now() - begun, milliseconds(1300));
+}
+
+// The window ends while the repeat waits for a descriptor: all six for engines are taken, and one more query
+// is in line before it. No clock is stepped.
+TEST_F(SteppedClock, ARepeatThatGetsItsConnectionAfterItsWindowIsNotSent) {
+  constexpr int kSockets = 32;
+  constexpr int kStartsAtOnce = 12;
+  std::atomic<bool> lookups_end{false};
+  const auto script = [&](const HttpCall& call) {
+    if (call.method == "DELETE") return reply(204);
+    const bool of_the_load = call.path.find("00000001/") != std::string::npos;
+    return call.method == "GET" && !of_the_load && lookups_end ? served("a\tb\tc\n") : not_yet();
+  };
+  HttpStandIn& first = engine(script);
+  HttpStandIn second(script);
+  options.sockets = kSockets;
+  start_with_faults();
+  FrontClient client(controller->address());
+  client.invoke(1, load("8000", "100"));  // overdue after 0.7 s: given up and repeated
+  ASSERT_TRUE(first.wait_for("POST", "/v2/q"));
+  const auto sent = Clock::now();
+  change_log.tell(member("s-second", second.address()));
+  ASSERT_TRUE(controller->wait_for_counter("list.changes", 2));
+  for (int tag = 2; tag <= kStartsAtOnce + 2; ++tag)
+    client.invoke(tag, {{"allow", "8000"}, {"effort", "2500"}});
+  ASSERT_TRUE(first.wait_for("DELETE", client.reference_of(1)));
+  std::this_thread::sleep_until(sent + kRepeatWindow + milliseconds(200));
+  EXPECT_EQ(controller->counters()["attempts.sent"], kStartsAtOnce + 3) << "the repeat was not asked for";
+  lookups_end = true;
+  FrontAnswer answer;
+  do {
+    answer = client.receive();
+  } while (answer.kind != Kind::kClosed && answer.sequence != 1);
+  EXPECT_EQ(answer.kind, Kind::kRefused);
+  const auto starts_of_load_at = [&](const HttpStandIn& at) {
+    const auto calls = at.calls();
+    return std::count_if(calls.begin(), calls.end(), [&](const HttpCall& call) {
+      const auto id = call.headers.find("Call-Id");
+      return call.method == "POST" && id != call.headers.end() && id->second == client.reference_of(1);
+    });
+  };
+  EXPECT_EQ(starts_of_load_at(first), 1);
+  EXPECT_EQ(starts_of_load_at(second), 0) << "sent after its window";
+}
+
+}  // namespace
+}  // namespace orchidgw::integration
