All spans on the boot clock: a stepped wall clock repeated keyed queries late and answered nobody

Stepped back, its time stood still: repeat windows, deadlines, the forgetting of attempts and the watch did not pass, while events were still acted on. Stepped forward, they passed at once.

Published starts of engines become instants once, when heard, with a bound on what a wrong clock can do (decision/engine_starts). The module's turns at a cold engine count from the engine's start, as gateways share no clock.

--- a/src/config/fleet_changes.cpp
+++ b/src/config/fleet_changes.cpp
@@ -26,7 +26,8 @@
   listing.entry.zone = text_in(member, "locality", "");
   listing.entry.kind = text_in(member, "flavor", "");
   listing.entry.cell = static_cast<int>(integer_in(member, "cell", 0));
-  listing.entry.started_at = integer_in(member, "up_since_ms", 0) * kUsPerMs;
+  const std::int64_t up_since_ms = integer_in(member, "up_since_ms", 0);
+  if (up_since_ms > 0) listing.up_since = WallTime{up_since_ms * kUsPerMs};
   return listing;
 }
 
--- a/src/core/engine_listing.h
+++ b/src/core/engine_listing.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "base/time.h"
 #include "decision/decision.h"
 
 namespace orchidgw::core {
@@ -15,8 +17,9 @@
 };
 
 struct EngineListing {
-  EngineEntry entry;
+  EngineEntry entry;  // `started_at` is set when the listing is heard (decision/engine_starts.h)
   Address address;
+  std::optional<WallTime> up_since;  // as published; none: a long time back
 };
 
 }  // namespace orchidgw::core
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -608,6 +608,7 @@
 
   // Rule 4: all gateways together; each keeps to an even part of the allowance, in any window. Where that is
   // below the query's charge, the part is dealt whole by turn; the gateway whose turn it is sends one query.
+  // Turns are counted from the engine's start: gateways share no clock.
   bool cold_allows(const Held& h, const Engine& e, TimeUs now) const {
     if (!cold(e, now)) return true;
     const TimeUs window = s_.rules.fall_window;
@@ -622,7 +623,8 @@
     if (recent + h.cost <= all * (fleet_ ? fleet_->cold : 1.0 / s_.gateways)) return true;
     if (gateways == 0) return false;  // without a lease no turn is this gateway's
     if (h.cost > kColdOne * all || (!e.sent.empty() && e.sent.back().first > now - 2 * window)) return false;
-    return turn_at(e, static_cast<std::uint64_t>(now / (2 * window))) * h.cost * gateways <= all;
+    const TimeUs age = std::max<TimeUs>(now - e.entry.started_at, 0);
+    return turn_at(e, static_cast<std::uint64_t>(age / (2 * window))) * h.cost * gateways <= all;
   }
 
   // --- Attempts and answers -------------------------------------------------------------------------------
--- a/src/net/admin_socket.cpp
+++ b/src/net/admin_socket.cpp
@@ -76,7 +76,7 @@
 class AdminSocket::Connection final : public ChannelHandler {
  public:
   Connection(AdminSocket& owner, int fd)
-      : owner_(owner), channel_(owner.context_.reactor, fd, *this), since_(unix_now()) {
+      : owner_(owner), channel_(owner.context_.reactor, fd, *this), since_(monotonic_now()) {
     channel_.want_read(true);
   }
 
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <set>
 #include <utility>
 
 #include "http/change_log_calls.h"
@@ -34,10 +35,11 @@
     : context_(context),
       address_(std::move(address)),
       connect_timeout_(limits.connect_timeout),
-      hold_(part_of(limits.drain_grace, 5, kHoldLeast, kHoldMost)),
-      answer_grace_(part_of(limits.drain_grace, 3, kAnswerGraceLeast, kAnswerGraceMost)),
-      backoff_most_(part_of(limits.drain_grace, 3, kBackoffFirst, kBackoffMost)),
+      hold_(part_of(limits.rules.drain_grace, 5, kHoldLeast, kHoldMost)),
+      answer_grace_(part_of(limits.rules.drain_grace, 3, kAnswerGraceLeast, kAnswerGraceMost)),
+      backoff_most_(part_of(limits.rules.drain_grace, 3, kBackoffFirst, kBackoffMost)),
       jitter_(static_cast<std::minstd_rand::result_type>(limits.seed)),
+      starts_(limits.rules),
       parser_(limits.answer_bytes),
       out_(context.pool),
       body_(context.pool) {
@@ -53,12 +55,28 @@
     core::EnginesChanged event;
     event.kind = change.complete ? (first ? ListKind::kStored : ListKind::kFull) : ListKind::kDelta;
     event.engines = change.engines;
+    set_starts(event.engines, change.complete);
     first = false;
     context_.post(std::move(event));
   }
   if (changes.last > last_) last_ = changes.last;
 }
 
+// The only place that reads the wall clock for a decision: published starts become instants here, once each.
+void ChangeLog::set_starts(std::vector<core::EngineListing>& engines, bool whole_list) {
+  std::set<EngineId> listed;
+  for (core::EngineListing& listing : engines) {
+    const EngineId& id = listing.entry.id;
+    if (listing.entry.state == EngineState::kGone || !listing.up_since) {
+      starts_.forget(id);
+      continue;
+    }
+    listing.entry.started_at = starts_.instant_of(id, *listing.up_since, wall_now(), monotonic_now());
+    listed.insert(id);
+  }
+  if (whole_list) starts_.keep_only(listed);
+}
+
 void ChangeLog::check(TimeUs now) {
   if (now < next_due()) return;
   if (state_ == State::kClosed) return connect(now);
@@ -72,7 +90,7 @@
   address_ = std::move(address);
   tell(known, false);
   backoff_ = 0;
-  set_due(unix_now());
+  set_due(monotonic_now());
 }
 
 void ChangeLog::connect(TimeUs now) {
@@ -105,7 +123,7 @@
   ConnectionEnd why = ConnectionEnd::kUnreachable;
   if (!connect_came_up(channel_->fd(), why)) return end(why);
   channel_->want_read(true);
-  ask(unix_now());
+  ask(monotonic_now());
 }
 
 void ChangeLog::on_error() {
@@ -142,7 +160,7 @@
     behind_since_ = 0;
     return false;
   }
-  const TimeUs now = unix_now();
+  const TimeUs now = monotonic_now();
   if (behind_since_ == 0) behind_since_ = now;
   if (now - behind_since_ < kBehindFor) return false;
   context_.log.write(log::Level::kWarn, "change log: it is behind what it told before, listed anew");
@@ -165,7 +183,7 @@
   if (!parser_.head().keep_alive) {
     end(ConnectionEnd::kClosedIdle);
   } else {
-    ask(unix_now());
+    ask(monotonic_now());
   }
   return true;
 }
@@ -184,7 +202,7 @@
   out_.clear();
   body_.clear();
   state_ = State::kClosed;
-  set_due(unix_now() + backoff());
+  set_due(monotonic_now() + backoff());
 }
 
 // Exponential, with jitter. Guards against a fleet that lost its log at one moment and calls it again in
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -10,6 +10,7 @@
 #include "config/fleet_changes.h"
 #include "core/connection_end.h"
 #include "core/engine_listing.h"
+#include "decision/engine_starts.h"
 #include "http/response_parser.h"
 #include "net/buffer_pool.h"
 #include "net/channel.h"
@@ -20,7 +21,7 @@
 struct ChangeLogLimits {
   std::size_t answer_bytes = 0;  // of one answer
   TimeUs connect_timeout = 0;
-  TimeUs drain_grace = 0;  // after the log has a drain, nothing new may go to that engine; 0: no such rule
+  Rules rules;             // drain grace: after the log has a drain, nothing new may go to that engine
   std::uint64_t seed = 0;  // of the jitter
 };
 
@@ -51,6 +52,7 @@
   bool answer_is_whole();
   bool went_back(const config::FleetChanges& changes);
   void tell(const config::FleetChanges& changes, bool start);
+  void set_starts(std::vector<core::EngineListing>& engines, bool whole_list);
   void end(core::ConnectionEnd end);
   TimeUs backoff();
   void set_due(TimeUs at) { due_ = at - context_.lost; }
@@ -64,6 +66,7 @@
   TimeUs behind_since_ = 0;  // its answers end before what is known; 0: they don't
   TimeUs backoff_ = 0;       // the last one, before its jitter; 0: the last question was answered
   std::minstd_rand jitter_;
+  EngineStarts starts_;
   std::uint64_t last_ = 0;
   State state_ = State::kClosed;
   std::unique_ptr<Channel> channel_;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -56,7 +56,7 @@
       closed_(std::move(closed)),
       frames_(kFrameBytesMost),
       out_(context.pool),
-      moved_at_(unix_now()),
+      moved_at_(monotonic_now()),
       frame_begun_at_(moved_at_) {
   channel_.want_read(true);
 }
@@ -73,7 +73,7 @@
     if (moved.kind == Moved::Kind::kClosed) return close(ConnectionEnd::kClosedIdle);
     if (moved.kind == Moved::Kind::kReset) return close(ConnectionEnd::kResetUnanswered);
     context_.counters.client_bytes_in += moved.bytes;
-    moved_at_ = unix_now();
+    moved_at_ = monotonic_now();
     if (!take_frames({room.data(), moved.bytes})) return close(ConnectionEnd::kUnreadable);
     if (!is_open()) return;
     if (!count_frame_bytes()) return close(ConnectionEnd::kTooMuch);
@@ -177,7 +177,7 @@
 }
 
 void ClientConnection::send(std::string_view bytes) {
-  if (out_.empty()) moved_at_ = unix_now();
+  if (out_.empty()) moved_at_ = monotonic_now();
   out_.append(bytes);
   flush();
 }
@@ -186,7 +186,7 @@
   std::uint64_t& written = context_.counters.client_bytes_out;
   const std::uint64_t before = written;
   if (!write_chain(channel_.fd(), out_, written)) return close(ConnectionEnd::kResetMidAnswer);
-  if (written != before) moved_at_ = unix_now();
+  if (written != before) moved_at_ = monotonic_now();
   channel_.want_write(!out_.empty());
   if (paused_ && !is_full()) read_on();
 }
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -89,7 +89,7 @@
       reducer_(config.settings, config.seed, counters_),
       engines_(context_, engines_for(config, fleet_descriptors)),
       change_log_(context_, config.change_log, config.known,
-                  {bytes_for(config, kChangesPart), config.connect_timeout, config.settings.rules.drain_grace,
+                  {bytes_for(config, kChangesPart), config.connect_timeout, config.settings.rules,
                    config.seed}),
       front_door_(context_, listener, front_for(config), reducer_),
       signals_(reactor_, [this](int signal) { on_signal(signal); }) {}
@@ -101,7 +101,7 @@
 }
 
 void Controller::run() {
-  act(unix_now());
+  act(monotonic_now());
   reactor_.hurry();
   reactor_.run();
   print_counters();
@@ -109,12 +109,12 @@
 
 void Controller::post(core::Event event) {
   reactor_.hurry();
-  events_.push(std::move(event), unix_now());
+  events_.push(std::move(event), monotonic_now());
 }
 
 // Acts on all that was read, then on what is due; says how long the loop may wait.
 TimeUs Controller::turn() {
-  const TimeUs now = unix_now();
+  const TimeUs now = monotonic_now();
   ++counters_.turns;
   const bool reads_first = attention_.turn_begins(now);
   context_.lost = attention_.lost();
@@ -124,7 +124,7 @@
     change_log_.check(now);
     engines_.check(now);
     if (admin_) admin_->check(now);
-    if (fleet_) fleet_->check(boot_now());
+    if (fleet_) fleet_->check(monotonic_now());
     if (intents_) intents_->check();
     act(now);
     front_door_.between_turns(now);
@@ -134,7 +134,7 @@
   }
   count_descriptors();
   log_.stream().flush();  // what nobody read so far
-  const TimeUs end = unix_now();
+  const TimeUs end = monotonic_now();
   counters_.turn.add(end - now);
   const TimeUs wait = wait_from(end);
   attention_.loop_waits(wait);
@@ -170,7 +170,7 @@
 }
 
 void Controller::act_on(TimeUs now, PostedEvent posted) {
-  counters_.reads.add(unix_now() - posted.at);
+  counters_.reads.add(monotonic_now() - posted.at);
   if (fleet_) {
     follow_fleet();
     if (const auto* request = std::get_if<core::RequestArrived>(&posted.event)) note_demand(*request);
@@ -183,8 +183,8 @@
 // Guards against sends on a lease that ended while this process waited or was stopped: what may be used is
 // looked at before each event, by the time of that moment.
 void Controller::follow_fleet() {
-  auto shares = fleet_->changed_shares(boot_now());
-  if (shares) apply(unix_now(), core::FleetShared{std::move(shares->module), std::move(shares->limits)});
+  auto shares = fleet_->changed_shares(monotonic_now());
+  if (shares) apply(monotonic_now(), core::FleetShared{std::move(shares->module), std::move(shares->limits)});
 }
 
 void Controller::note_demand(const core::RequestArrived& request) {
@@ -193,19 +193,19 @@
   for (const ClassSettings& c : settings_.classes)
     if (cost <= 0 && c.name == request.request->class_name)
       cost = c.aim / 2;  // as the module takes it unlearned
-  fleet_->taken(boot_now(), request.request->tenant, cost);
+  fleet_->taken(monotonic_now(), request.request->tenant, cost);
 }
 
 void Controller::join_fleet(const configuration::Configuration& configuration, int listener) {
   FleetSelf self;
   self.name = configuration.controller.name;
-  self.incarnation = static_cast<std::uint64_t>(unix_now());  // orders the starts of this name, nothing else
+  self.incarnation = static_cast<std::uint64_t>(wall_now().unix_us);  // orders the starts of this name, nothing else
   self.seed = configuration.controller.seed ^ self.incarnation;
   self.listener = listener;
   const auto join = [&] {
     return std::make_unique<FleetMember>(
         context_, *configuration.fleet, self, settings_, configuration.limits.get(),
-        [this] { return reducer_.limiter().fleet_use(unix_now()); },
+        [this] { return reducer_.limiter().fleet_use(monotonic_now()); },
         [this](core::StartCall call) { send_promised(std::move(call)); });
   };
   try {
@@ -254,14 +254,14 @@
 
 void Controller::apply(TimeUs now, core::Event event) {
   std::vector<core::SideEffect> effects;
-  const TimeUs begun = unix_now();
+  const TimeUs begun = monotonic_now();
   try {
     effects = reducer_.apply(now, std::move(event));
   } catch (const std::exception& e) {
     log_.write(log::Level::kError, std::string("reducer: ") + e.what());
     return;
   }
-  counters_.reducer.add(unix_now() - begun);
+  counters_.reducer.add(monotonic_now() - begun);
   for (core::SideEffect& effect : effects) {
     try {
       run_effect(effect);
@@ -277,7 +277,7 @@
         using E = std::decay_t<decltype(e)>;
         if constexpr (std::is_same_v<E, core::StartCall>) {
           if (e.identity.empty()) return engines_.start(std::move(e));
-          if (promises() != nullptr) return promises()->hold(std::move(e), boot_now());
+          if (promises() != nullptr) return promises()->hold(std::move(e), monotonic_now());
           send_promised(std::move(e));
         } else if constexpr (std::is_same_v<E, core::DropCall>) {
           if (!drop_held(e.call, core::ConnectionEnd::kDroppedUnsent)) engines_.drop(e.call);
@@ -304,7 +304,7 @@
     due = std::min(due, std::max(stop_asked_at_ + kStillComing, now + kAcceptEvery));
   if (const auto timer = reducer_.next_due()) due = std::min(due, *timer);
   if (const auto call = engines_.next_due()) due = std::min(due, *call);
-  if (fleet_) due = std::min(due, now + fleet_->wait(boot_now()));
+  if (fleet_) due = std::min(due, now + fleet_->wait(monotonic_now()));
   return std::max<TimeUs>(due - now, 0);
 }
 
@@ -313,7 +313,7 @@
   if (signal == SIGHUP) return reload();
   if (stop_asked_at_ > 0) return;
   log_.write(log::Level::kInfo, "asked to stop: serving what still comes");
-  stop_asked_at_ = unix_now();
+  stop_asked_at_ = monotonic_now();
   reactor_.hurry();
 }
 
@@ -326,9 +326,9 @@
   std::string why;
   const auto command = admin::parse_admin(line, why);
   if (!command) return "error: " + why + "\n";
-  const TimeUs now = unix_now();
+  const TimeUs now = monotonic_now();
   if (command->kind == admin::AdminCommand::Kind::kFleetStatus)
-    return fleet_ ? fleet_->status(boot_now()) : "error: this controller belongs to no fleet\n";
+    return fleet_ ? fleet_->status(monotonic_now()) : "error: this controller belongs to no fleet\n";
   if (command->kind == admin::AdminCommand::Kind::kLevelSet) {
     if (!reducer_.levels().has_level(command->level)) return "error: no level of that name\n";
     post(core::LevelSet{command->level, now + command->hold});
@@ -385,7 +385,7 @@
                                      std::shared_ptr<const service_level::LevelFile> levels) {
   const auto routes = static_cast<std::int64_t>(set->routes().size()) - 1;
   const auto count = static_cast<std::int64_t>(levels ? levels->levels.size() : 0);
-  apply(unix_now(), core::LimitsChanged{std::move(set), std::move(levels)});
+  apply(monotonic_now(), core::LimitsChanged{std::move(set), std::move(levels)});
   log_.write(log::Level::kInfo, log::Component::kLimits, "limits in force",
              {{"routes", routes}, {"levels", count}});
 }
@@ -399,8 +399,8 @@
   }
   if (!events_.empty() || reducer_.queries() > 0 || !front_door_.empty()) return;
   // Parts go back before the process does: others need not wait for the end of a lease.
-  if (fleet_) fleet_->leave(boot_now());
-  if (fleet_ && !fleet_->left(boot_now())) return;
+  if (fleet_) fleet_->leave(monotonic_now());
+  if (fleet_ && !fleet_->left(monotonic_now())) return;
   log_.write(log::Level::kInfo, "nothing is open any more: stopping");
   front_door_.close_all();
   engines_.close_all();
--- a/src/net/engine_client.cpp
+++ b/src/net/engine_client.cpp
@@ -36,7 +36,7 @@
 void EngineClient::start(core::StartCall call) {
   const Line line = line_of(call.kind);
   if (waiting_[line].empty() && place(call)) return;
-  const TimeUs until = unix_now() + limits_.connect_timeout;
+  const TimeUs until = monotonic_now() + limits_.connect_timeout;
   waiting_[line].push_back({std::move(call), until});
   count_waiting();
 }
@@ -70,7 +70,7 @@
   context_.counters.engine_connections.up();
   const ConnectionId id = ++last_id_;
   calls_[call.call] = id;
-  const TimeUs up_by = unix_now() + limits_.connect_timeout;
+  const TimeUs up_by = monotonic_now() + limits_.connect_timeout;
   auto connection = std::make_shared<EngineConnection>(context_, *this, id, begun.fd, std::move(call), up_by);
   connections_[id] = connection;
   watch(*connection);
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -25,7 +25,7 @@
       attempt_(call.attempt),
       channel_(context.reactor, fd, *this),
       call_(std::move(call)),
-      begun_at_(unix_now()),
+      begun_at_(monotonic_now()),
       up_by_(up_by - context.lost),
       answer_by_(call_->answer_by - context.lost),
       parser_(http::kPageBytesMost),
@@ -48,7 +48,7 @@
 void EngineConnection::came_up() {
   ConnectionEnd end = ConnectionEnd::kUnreachable;
   if (!connect_came_up(channel_.fd(), end)) return close(end);
-  context_.counters.connects.add(unix_now() - begun_at_);
+  context_.counters.connects.add(monotonic_now() - begun_at_);
   channel_.want_read(true);
   write_request();
 }
@@ -58,7 +58,7 @@
   parser_.reset();
   body_.clear();
   rows_ = {};
-  out_.append(http::write_call(*call_, unix_now()));
+  out_.append(http::write_call(*call_, monotonic_now()));
   flush();
 }
 
@@ -91,7 +91,7 @@
   context_.counters.engine_bytes_in += moved.bytes;
   // Bytes with no call on it, or before the call is whole, answer nothing of ours.
   if (state_ == State::kIdle || !out_.empty()) return close(ConnectionEnd::kUnreadable);
-  read_at_ = unix_now() - context_.lost;
+  read_at_ = monotonic_now() - context_.lost;
   if (!read_bytes({room.data(), moved.bytes})) return close(ConnectionEnd::kUnreadable);
   if (state_ == State::kBusy) owner_.begun(*this);
 }
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -69,7 +69,7 @@
              [this](std::uint64_t link) {
                if (keeper_) keeper_->post(KeeperThread::LinkGone{link});
              },
-             [this](fleet::KeeperId keeper) { role_.link_down(boot_now(), keeper); },
+             [this](fleet::KeeperId keeper) { role_.link_down(monotonic_now(), keeper); },
              [this](const fleet::Hello& hello) {
                keeper_heard_ = true;
                if (keeper_) keeper_->post(KeeperThread::Greeted{hello.keeper, hello.begun, hello.at});
@@ -102,7 +102,7 @@
 // Without a lease no promise is asked for: no keeper may be there to give one, and who may send on it is not
 // a member. At once, not after a wait.
 core::KeyVerdict FleetMember::verdict(const std::string& identity) const {
-  const TimeUs now = boot_now();
+  const TimeUs now = monotonic_now();
   const bool may_be_given = role_.holder().leased(now) && role_.keys_settled();
   return may_be_given ? promises_->verdict(identity, now) : core::KeyVerdict::kNoRoom;
 }
@@ -189,7 +189,7 @@
 }
 
 void FleetMember::told(const fleet::Message& message) {
-  const TimeUs now = boot_now();
+  const TimeUs now = monotonic_now();
   if (const auto* grant = std::get_if<fleet::GrantTold>(&message)) {
     const bool superseded = role_.holder().superseded();
     const bool no_room = role_.holder().no_room();
--- a/src/net/fleet_port.cpp
+++ b/src/net/fleet_port.cpp
@@ -88,7 +88,7 @@
     outgoing.pause = link.peer() ? kPauseLeast : std::clamp(outgoing.pause * 2, kPauseLeast, kPauseMost);
     random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
     const auto part = static_cast<TimeUs>(random_ >> 33) % outgoing.pause;
-    outgoing.not_before = boot_now() + outgoing.pause / 2 + part;
+    outgoing.not_before = monotonic_now() + outgoing.pause / 2 + part;
     context_.log.write(log::Level::kDebug, log::Component::kFleet, "a keeper's connection is gone",
                        {{"keeper", static_cast<std::int64_t>(keeper)}, {"why", why}});
     return events_.keeper_gone(keeper);
@@ -96,12 +96,12 @@
 }
 
 bool FleetPort::connect(fleet::KeeperId to, Outgoing& outgoing) {
-  if (boot_now() < outgoing.not_before) return false;
+  if (monotonic_now() < outgoing.not_before) return false;
   for (const fleet::KeeperPlace& keeper : config_.keepers) {
     if (keeper.id != to) continue;
     const Connecting begun = begin_connect(keeper.address);
     outgoing.pause = std::clamp(outgoing.pause * 2, kPauseLeast, kPauseMost);
-    outgoing.not_before = boot_now() + outgoing.pause;
+    outgoing.not_before = monotonic_now() + outgoing.pause;
     if (begun.fd < 0) return false;
     outgoing.link = open(begun.fd, false);
     return true;
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -54,7 +54,7 @@
 // Guards against silent connections by the hundred: with all places taken, a newcomer gets the place of one
 // that never spoke, else of the one idle for longest. Nobody with an open request is put out.
 bool FrontDoor::make_room() {
-  const TimeUs now = unix_now();
+  const TimeUs now = monotonic_now();
   std::shared_ptr<ClientConnection> least;
   for (const auto& [id, client] : clients_) {
     const bool settled = now - client->quiet_since() > kSettled;
@@ -88,7 +88,7 @@
   const auto it = clients_.find(id);
   if (it == clients_.end()) return;
   if (it->second->lingers()) {
-    lingering_.push_back({it->second, unix_now() + kLingerFor});
+    lingering_.push_back({it->second, monotonic_now() + kLingerFor});
   } else {
     context_.closed.push_back(it->second);
   }
--- a/src/net/intents.cpp
+++ b/src/net/intents.cpp
@@ -29,7 +29,7 @@
     : context_(context), send_(std::move(send)), store_(folder, kStoreBytes), book_([this] {
         const std::vector<store::Intent> found = store_.load();
         found_ = found.size();
-        return recovery::KeyBook(boot_id(), boot_now(), found, kIntentsMost);
+        return recovery::KeyBook(boot_id(), monotonic_now(), found, kIntentsMost);
       }()) {
   channel_ = std::make_unique<Channel>(context.reactor, ::dup(wake_.fd()), *this);
   channel_->want_read(true);
@@ -48,12 +48,12 @@
 void Intents::close() { channel_->close(); }
 
 core::KeyVerdict Intents::verdict(const std::string& identity) const {
-  if (book_.may_have_run(identity, boot_now())) return core::KeyVerdict::kMayHaveRun;
+  if (book_.may_have_run(identity, monotonic_now())) return core::KeyVerdict::kMayHaveRun;
   return failing_ || book_.full() ? core::KeyVerdict::kNoRoom : core::KeyVerdict::kNew;
 }
 
 void Intents::hold(core::StartCall call) {
-  const store::Intent intent = book_.intend(call.identity, call.rest, boot_now());
+  const store::Intent intent = book_.intend(call.identity, call.rest, monotonic_now());
   held_.push_back({std::move(call), intent.serial});
   const std::lock_guard lock(mutex_);
   put_.push_back(intent);
@@ -69,7 +69,7 @@
 }
 
 void Intents::check() {
-  const TimeUs now = boot_now();
+  const TimeUs now = monotonic_now();
   if (now < look_at_) return;
   look_at_ = now + kLookEvery;
   const std::vector<std::uint64_t> over = book_.over(now);
--- a/src/net/keeper_thread.cpp
+++ b/src/net/keeper_thread.cpp
@@ -22,7 +22,7 @@
                            const store::StoredOwner& self, const budget::Terms& own)
     : options_(options),
       self_(self),
-      floor_(options.id, options.voters, boot_now(), kElectionsPatient * options.election_ms * kUsPerMs),
+      floor_(options.id, options.voters, monotonic_now(), kElectionsPatient * options.election_ms * kUsPerMs),
       folder_(folder),
       own_(own) {
   open_store();
@@ -78,16 +78,16 @@
 void KeeperThread::begin_keeper() {
   claim_->begin();
   store_->set_owner(claim_->owner());
-  keeper_ = std::make_unique<keeper::Keeper>(options_, *store_, *role_, boot_now());
+  keeper_ = std::make_unique<keeper::Keeper>(options_, *store_, *role_, monotonic_now());
 }
 
 // Where there is no keeper: on a disk that failed and may be better, or one that is empty, once it may begin.
 // False: not yet.
 bool KeeperThread::make_keeper() {
-  if (failed_ && boot_now() < retry_at_) return false;
+  if (failed_ && monotonic_now() < retry_at_) return false;
   try {
     if (failed_) {
-      retry_at_ = boot_now() + kRetryAfter;
+      retry_at_ = monotonic_now() + kRetryAfter;
       keeper_.reset();
       role_ = std::make_unique<fleet::KeeperRole>(own_);
       open_store();
@@ -128,7 +128,7 @@
       look_if_behind();
     } else if (auto* message = std::get_if<fleet::LogMessage>(&input)) {
       if (claim_->met(message->from)) store_claim();
-      if (keeper_ && floor_.lets(*message, boot_now())) keeper_->receive(*message);
+      if (keeper_ && floor_.lets(*message, monotonic_now())) keeper_->receive(*message);
     } else if (auto* asked = std::get_if<Asked>(&input)) {
       if (keeper_) role_->asked(*keeper_, asked->link, std::move(asked->ask));
     } else if (auto* keys = std::get_if<KeysAsked>(&input)) {
@@ -153,7 +153,7 @@
   std::vector<fleet::LogMessage> messages;
   if (keeper_) messages = keeper_->take_outbox();
   std::vector<fleet::KeeperRole::Reply> replies = role_->take_replies();
-  const TimeUs now = boot_now();
+  const TimeUs now = monotonic_now();
   std::erase_if(messages, [&](const fleet::LogMessage& one) { return !floor_.lets(one, now); });
   std::string status;
   if (now >= status_at_ && keeper_) {
@@ -188,9 +188,9 @@
     {
       std::unique_lock lock(mutex_);
       if (inputs_.empty() && !stop_) {
-        TimeUs due = keeper_ ? keeper_->next_tick() : failed_ ? retry_at_ : boot_now() + kRetryAfter;
+        TimeUs due = keeper_ ? keeper_->next_tick() : failed_ ? retry_at_ : monotonic_now() + kRetryAfter;
         if (const auto role = role_->next_due()) due = std::min(due, *role);
-        const TimeUs wait = std::clamp<TimeUs>(due - boot_now(), 0, kRetryAfter);
+        const TimeUs wait = std::clamp<TimeUs>(due - monotonic_now(), 0, kRetryAfter);
         changed_.wait_for(lock, std::chrono::microseconds(wait),
                           [this] { return stop_ || !inputs_.empty(); });
       }
@@ -201,11 +201,11 @@
     if (!keeper_) make_keeper();
     if (keeper_) {
       // What this turn brought is made durable in one go, and what it led to in the next.
-      keeper_->advance(boot_now());
+      keeper_->advance(monotonic_now());
       keeper_->settle();
-      role_->run(boot_now(), *keeper_);
+      role_->run(monotonic_now(), *keeper_);
       keeper_->settle();
-      role_->run(boot_now(), *keeper_);
+      role_->run(monotonic_now(), *keeper_);
       if (keeper_->leads() != led_) {
         led_ = !led_;
         notes_.push_back(led_ ? "this keeper leads now" : "this keeper leads no more");
@@ -215,7 +215,7 @@
         keeper_.reset();
         failed_ = true;
         led_ = false;
-        retry_at_ = boot_now() + kRetryAfter;
+        retry_at_ = monotonic_now() + kRetryAfter;
       }
     }
     give_out();
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -28,7 +28,7 @@
       channel_(context.reactor, fd, *this),
       up_(up),
       frames_(thrift::kFleetFrameMost),
-      opened_at_(boot_now()) {
+      opened_at_(monotonic_now()) {
   // Guards against a peer whose machine vanished: without a word the connection would stay for hours.
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedMs, sizeof kUnackedMs);
   if (up_) {
--- a/tests/integration/engine_client_test.cpp
+++ b/tests/integration/engine_client_test.cpp
@@ -39,7 +39,7 @@
     call.address = {at.substr(0, colon), static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1)))};
     call.reference = "00000000000000aa";
     call.statement = statement;
-    call.stop_at = net::unix_now() + 60'000'000;
+    call.stop_at = net::monotonic_now() + 60'000'000;
     call.answer_by = call.stop_at;
     client.start(std::move(call));
   }
@@ -52,7 +52,7 @@
   }
 
   TimeUs turn() {
-    client.check(net::unix_now());
+    client.check(net::monotonic_now());
     context.closed.clear();
     if (condition()) reactor.stop();
     return 1000;
@@ -98,7 +98,7 @@
 
 TEST_F(FewDescriptors, ACallThatFindsNoneInTimeEndsAsOneThatNeverRan) {
   for (core::CallId id = 1; id <= 8; ++id) start(id, core::CallKind::kStart);
-  client.check(net::unix_now() + 21'000'000);
+  client.check(net::monotonic_now() + 21'000'000);
   std::map<core::CallId, core::ConnectionEnd> ends;
   for (const auto& event : events) {
     const auto& ended = std::get<core::CallEnded>(event);
@@ -130,9 +130,9 @@
   start(1, core::CallKind::kNews);
   run_until([this] { return engine.count("GET") == 1; });
   context.lost += 120'000'000;
-  client.check(net::unix_now() + 100'000'000);
+  client.check(net::monotonic_now() + 100'000'000);
   EXPECT_TRUE(events.empty());
-  client.check(net::unix_now() + 200'000'000);
+  client.check(net::monotonic_now() + 200'000'000);
   ASSERT_EQ(events.size(), 1U);
   EXPECT_EQ(std::get<core::CallEnded>(events[0]).end, core::ConnectionEnd::kSilent);
 }
--- a/tests/integration/front_door_test.cpp
+++ b/tests/integration/front_door_test.cpp
@@ -140,7 +140,7 @@
   TimeUs turn() {
     std::unique_lock lock(mutex);
     context.closed.clear();
-    if (door) door->between_turns(net::unix_now());
+    if (door) door->between_turns(net::monotonic_now());
     if (condition && condition()) {
       running = false;
       changed.notify_all();
@@ -200,7 +200,7 @@
   open(4);
   auto socket = client();
   write(socket, invoke(2));
-  door->between_turns(net::unix_now() + 6 * kSecond);
+  door->between_turns(net::monotonic_now() + 6 * kSecond);
   EXPECT_EQ(count<core::RequestArrived>(), 1U);
   EXPECT_EQ(ends(core::ConnectionEnd::kIdleExpired), 0U);
 }
@@ -210,7 +210,7 @@
   auto socket = connect();
   run_until([this] { return counters.accepted == 1; });
   write(socket, invoke(1));
-  door->between_turns(net::unix_now() + 3 * kSecond);
+  door->between_turns(net::monotonic_now() + 3 * kSecond);
   EXPECT_EQ(count<core::RequestArrived>(), 1U);
   EXPECT_EQ(ends(core::ConnectionEnd::kSilent), 0U);
 }
@@ -220,7 +220,7 @@
   auto socket = client();
   ASSERT_TRUE(door->stop_listening(false));
   write(socket, invoke(2));
-  door->between_turns(net::unix_now() + kSecond);
+  door->between_turns(net::monotonic_now() + kSecond);
   EXPECT_EQ(count<core::RequestArrived>(), 1U);
   EXPECT_EQ(ends(core::ConnectionEnd::kShutDown), 0U);
 }
@@ -241,7 +241,7 @@
 TEST_F(FrontDoorTest, WhatComesAfterTheCloseIsThrownAwayAndResetsNothing) {
   open(4);
   auto socket = client();
-  door->between_turns(net::unix_now() + 6 * kSecond);
+  door->between_turns(net::monotonic_now() + 6 * kSecond);
   EXPECT_EQ(ends(core::ConnectionEnd::kIdleExpired), 1U);
   EXPECT_EQ(door->lingering(), 1U);
   EXPECT_EQ(count<core::ClientClosed>(), 1U);
@@ -282,12 +282,12 @@
   std::vector<Poco::Net::StreamSocket> sockets;
   for (int i = 0; i < 30; ++i) {
     sockets.push_back(client());
-    door->between_turns(net::unix_now() + 6 * kSecond + i * kSecond / 5);
+    door->between_turns(net::monotonic_now() + 6 * kSecond + i * kSecond / 5);
     EXPECT_LE(door->lingering(), 18U);
   }
   EXPECT_EQ(ends(core::ConnectionEnd::kIdleExpired), 30U);
   EXPECT_GT(door->lingering(), 0U);
-  door->between_turns(net::unix_now() + 60 * kSecond);
+  door->between_turns(net::monotonic_now() + 60 * kSecond);
   EXPECT_TRUE(door->empty());
 }
 
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -51,7 +51,7 @@
   EXPECT_EQ(e.entry.zone, "east");
   EXPECT_EQ(e.entry.kind, "std");
   EXPECT_EQ(e.entry.cell, 2);
-  EXPECT_EQ(e.entry.started_at, 1700000000123000);
+  EXPECT_EQ(e.up_since, WallTime{1700000000123000});
   EXPECT_EQ(e.address, (core::Address{"10.1.0.9", 7001}));
 }
 
