Soak: two dozen real processes under random overlapping faults; a loop that a step back puts to sleep

The soak starts 24 controllers, 8 engines, 48 clients and 9 threads of faults that overlap: steps of the wall clock, failing and short system calls, SIGSTOP, SIGKILL, planned restarts, hanging, resetting, failing, full, crashing and draining engines, a change log that is down.

--- a/tests/integration/change_log_stand_in.h
+++ b/tests/integration/change_log_stand_in.h
@@ -17,6 +17,7 @@
   ~ChangeLogStandIn();
 
   void tell(const std::string& members);  // JSON of the members that changed
+  void set_down(bool down);               // connections are reset, nothing is told
   HttpStandIn& server() { return server_; }
   std::string address() const { return server_.address(); }
 
@@ -26,6 +27,7 @@
   std::condition_variable changed_;
   std::vector<std::string> events_;
   bool closing_ = false;
+  bool down_ = false;
   HttpStandIn server_;
 };
 
--- a/tests/integration/stepped_clock_test.cpp
+++ b/tests/integration/stepped_clock_test.cpp
@@ -1,6 +1,7 @@
 // A controller whose wall clock is stepped, and starts that are overtaken by time on their way (incident 39,
 // docs/incidents/stepped-clock.md): what may be repeated, answered and sent goes by real time.
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <atomic>
 #include <chrono>
@@ -89,6 +90,29 @@
   EXPECT_LT(Clock::now() - begun, milliseconds(1300));
 }
 
+// The loop's wait is interrupted as the wall clock goes back: the change log refuses connections and the
+// engine is silent, so that timers alone bring the loop back.
+TEST_F(SteppedClock, TimersFireThoughTheLoopsWaitIsInterruptedAsTheWallClockGoesBack) {
+  HttpReply silent;
+  silent.way = HttpReply::Way::kSilent;
+  HttpStandIn& only = engine([&](const HttpCall&) { return silent; });
+  options.change_log = "127.0.0.1:2";  // nobody listens there
+  start_with_faults();
+  FrontClient client(controller->address());
+  const auto begun = Clock::now();
+  client.invoke(1, load("1500", "2500"));
+  ASSERT_TRUE(only.wait_for("POST", "/v2/q"));
+  for (int i = 0; i < 10; ++i) {
+    controller->signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(10));
+    faults.step_wall_clock(-30 * kSecondUs);
+    controller->signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  EXPECT_NE(client.receive().kind, Kind::kClosed);
+  EXPECT_LT(Clock::now() - begun, milliseconds(1800));
+}
+
 // The window ends while the repeat waits for a descriptor: all that starts may have are taken, and a query
 // more is in line before it. A start waits for 0.35 s at the most. No clock is stepped.
 TEST_F(SteppedClock, ARepeatThatGetsItsConnectionAfterItsWindowIsNotSent) {
--- /dev/null
+++ b/tests/soak/soak_audit.h
@@ -0,0 +1,109 @@
+// What clients asked and engines were sent in a soak, and which of the rules it broke. Times are of the
+// monotonic clock of the test's own process.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "integration/front_client.h"
+
+namespace orchidgw::soak {
+
+using Clock = std::chrono::steady_clock;
+using Instant = Clock::time_point;
+using std::chrono::milliseconds;
+
+enum class Effect { kSafe, kKeyed, kUnsafe };
+
+struct QueryClass {
+  std::string name;
+  Effect effect = Effect::kSafe;
+  milliseconds deadline{0};
+  milliseconds repeat_window{0};
+};
+
+struct Interval {
+  Instant from;
+  Instant to;
+};
+
+// One process of a controller, from its start to its end.
+class ProcessRecord {
+ public:
+  explicit ProcessRecord(std::string name) : name_(std::move(name)) {}
+  const std::string& name() const { return name_; }
+  void killed();                  // outright: what it held is nobody's duty any more
+  void stood_still(Interval at);  // stopped by a signal
+  bool was_killed() const;
+  Clock::duration stood_still_within(Instant from, Instant to) const;
+
+ private:
+  std::string name_;
+  mutable std::mutex mutex_;
+  bool killed_ = false;
+  std::vector<Interval> still_;
+};
+
+enum class StartEnd { kOut, kAnswered, kNeverBegun, kGivenUp };
+
+class SoakAudit {
+ public:
+  using RequestId = std::string;  // its reference
+  using StartNumber = std::size_t;
+
+  // Clients.
+  void asked(const RequestId& id, const QueryClass& query_class, milliseconds allow,
+             std::shared_ptr<const ProcessRecord> process);
+  void answered(const RequestId& id, integration::FrontAnswer::Kind kind);
+  void left(const RequestId& id);
+
+  // Engines.
+  StartNumber started(const RequestId& id, const std::string& engine, milliseconds told_wait);
+  void asked_for(const RequestId& id, StartNumber start);
+  void ended(const RequestId& id, StartNumber start, StartEnd end);
+  void drains(const std::string& engine);  // told in the change log
+  void change_log_was_down(Interval at);
+
+  // All that was broken, a line each.
+  std::vector<std::string> broken_rules() const;
+  std::string summary() const;
+
+ private:
+  struct Start {
+    std::string engine;
+    Instant at;
+    milliseconds told_wait{0};
+    Instant last_asked;
+    Instant ended_at;
+    StartEnd end = StartEnd::kOut;
+  };
+  struct Request {
+    const QueryClass* query_class = nullptr;
+    Instant asked_at;
+    milliseconds allow{0};
+    std::shared_ptr<const ProcessRecord> process;
+    std::optional<Instant> answered_at;
+    integration::FrontAnswer::Kind kind = integration::FrontAnswer::Kind::kClosed;
+    std::optional<Instant> left_at;
+    std::vector<Start> starts;
+  };
+
+  static Instant over_at(const Start& start);
+  void judge(const RequestId& id, const Request& request, std::vector<std::string>& out) const;
+  void judge_answer(const Request& request, std::vector<std::string>& out) const;
+  void judge_start(const Request& request, const Start& start, std::vector<std::string>& out) const;
+  static void judge_repeat(const Request& request, const Start& earlier, const Start& later,
+                           std::vector<std::string>& out);
+
+  mutable std::mutex mutex_;
+  std::map<RequestId, Request> requests_;
+  std::map<std::string, Instant> draining_;
+  std::vector<Interval> change_log_down_;
+};
+
+}  // namespace orchidgw::soak
--- /dev/null
+++ b/tests/soak/soak_engine.h
@@ -0,0 +1,55 @@
+// An engine of the soak: runs queries for a drawn time, forgets what nobody asks for, and misbehaves on
+// demand.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+#include "integration/http_stand_in.h"
+#include "soak_audit.h"
+
+namespace orchidgw::soak {
+
+enum class EngineFault { kNone, kHangs, kResets, kFails, kFull, kCutsAnswers };
+
+class SoakEngine {
+ public:
+  SoakEngine(std::string id, SoakAudit& audit, unsigned seed);
+
+  const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+  void set(EngineFault fault) { fault_ = fault; }
+  void crash();    // connections are reset, its queries are gone
+  void restart();  // at the same address, after a crash
+
+ private:
+  struct Running {
+    SoakAudit::StartNumber start = 0;
+    Instant done_at;
+    Instant last_asked;
+    bool over = false;
+  };
+
+  integration::HttpReply answer(const integration::HttpCall& call);
+  integration::HttpReply start(const integration::HttpCall& call);
+  integration::HttpReply news(const std::string& reference);
+  integration::HttpReply give_up(const std::string& reference);
+  void note_answered(const std::string& reference);
+  void hang_while_told();
+  bool draw(double probability);
+
+  std::string id_;
+  SoakAudit& audit_;
+  std::string address_;
+  std::atomic<EngineFault> fault_{EngineFault::kNone};
+  std::atomic<bool> crashing_{false};
+  std::mutex mutex_;
+  std::mt19937 random_;
+  std::map<std::string, Running> running_;
+  std::unique_ptr<integration::HttpStandIn> server_;
+};
+
+}  // namespace orchidgw::soak
