A ticker wakes the loop: a step back beside an interrupted wait let it sleep on for as long

Cause: POCO's poll takes what is left of a wait that a signal interrupted from the wall clock. After SIGCONT, with the clock stepped back by 30 s meanwhile and only timers due, the loop slept on; a request of 1.5 s had no answer after 22 s. Change: a timer descriptor on the monotonic clock, ten times a second, is one of the loop's own (net/loop_ticker).

--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -93,7 +93,8 @@
           context_, config.change_log, config.known,
           {bytes_for(config, kChangesPart), config.connect_timeout, config.settings.rules, config.seed}),
       front_door_(context_, listener, front_for(config), reducer_),
-      signals_(reactor_, [this](int signal) { on_signal(signal); }) {}
+      signals_(reactor_, [this](int signal) { on_signal(signal); }),
+      ticker_(reactor_) {}
 
 // Guards against running out of memory: who is not read keeps what he has to say. What was read in this turn
 // counts too, lest all clients together pass the bound in one.
@@ -420,12 +421,13 @@
   if (fleet_) fleet_->close_all();
   if (intents_) intents_->close();
   admin_.reset();
+  ticker_.close();
   reactor_.stop();
 }
 
 // Those of connections, and what is always open.
 void Controller::count_descriptors() {
-  constexpr std::uint64_t kAlwaysOpen = 7;  // standard ones, listener, poll, signals, change log
+  constexpr std::uint64_t kAlwaysOpen = 8;  // standard ones, listener, poll, signals, ticker, change log
   counters_.descriptors.set(counters_.clients.now + front_door_.lingering() +
                             counters_.engine_connections.now + kAlwaysOpen +
                             (fleet_ ? fleet_->connections() : 0));
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -20,6 +20,7 @@
 #include "net/fleet_member.h"
 #include "net/front_door.h"
 #include "net/intents.h"
+#include "net/loop_ticker.h"
 #include "net/reactor.h"
 #include "net/signals.h"
 #include "net/wall_clock_watch.h"
@@ -93,6 +94,7 @@
   ChangeLog change_log_;
   FrontDoor front_door_;
   Signals signals_;
+  LoopTicker ticker_;
   std::unique_ptr<AdminSocket> admin_;  // null: off
   std::unique_ptr<FleetMember> fleet_;  // null: alone
   std::unique_ptr<Intents> intents_;    // null: none are kept
--- /dev/null
+++ b/src/net/loop_ticker.cpp
@@ -0,0 +1,43 @@
+#include "net/loop_ticker.h"
+
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace orchidgw::net {
+namespace {
+
+constexpr long kPeriodNs = 100'000'000;
+
+int open_timer() {
+  const int fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (fd < 0) return -1;
+  itimerspec pace{};
+  pace.it_value.tv_nsec = kPeriodNs;
+  pace.it_interval.tv_nsec = kPeriodNs;
+  if (timerfd_settime(fd, 0, &pace, nullptr) == 0) return fd;
+  ::close(fd);
+  return -1;
+}
+
+}  // namespace
+
+LoopTicker::LoopTicker(Reactor& reactor) {
+  const int fd = open_timer();
+  if (fd < 0) return;
+  channel_ = std::make_unique<Channel>(reactor, fd, *this);
+  channel_->want_read(true);
+}
+
+// The turn has been taken by then: the reactor takes one whenever its wait is over.
+void LoopTicker::on_readable() {
+  std::uint64_t periods = 0;
+  if (::read(channel_->fd(), &periods, sizeof periods) == 0) close();
+}
+
+void LoopTicker::close() {
+  if (channel_) channel_->close();
+}
+
+}  // namespace orchidgw::net
