--- a/tests/integration/stepped_clock_test.cpp
+++ b/tests/integration/stepped_clock_test.cpp
@@ -56,13 +56,21 @@
     start();
   }
 
+  void TearDown() override {
+    controller.reset();
+    engines.clear();  // their scripts look at what follows
+  }
+
+  std::atomic<bool> window_is_over{false};
+  std::atomic<int> lookups_to_end{0};
+  std::mutex mutex;
+  std::vector<Clock::time_point> starts_of_load;
   faults::FaultSwitch faults;
 };
 
 // The incident: the engine ends the attempt with an error that says nothing of its effect, after its window.
 TEST_F(SteppedClock, AKeyedQueryIsNotRepeatedAfterItsWindowThoughTheWallClockWentBack) {
-  std::atomic<bool> window_is_over{false};
-  HttpStandIn& only = engine([&](const HttpCall& call) {
+  HttpStandIn& only = engine([this](const HttpCall& call) {
     if (call.method == "DELETE") return reply(204);
     return window_is_over ? reply(500) : not_yet();
   });
@@ -93,9 +101,11 @@
 // The loop's wait is interrupted as the wall clock goes back: the change log refuses connections and the
 // engine is silent, so that timers alone bring the loop back.
 TEST_F(SteppedClock, TimersFireThoughTheLoopsWaitIsInterruptedAsTheWallClockGoesBack) {
-  HttpReply silent;
-  silent.way = HttpReply::Way::kSilent;
-  HttpStandIn& only = engine([&](const HttpCall&) { return silent; });
+  HttpStandIn& only = engine([](const HttpCall&) {
+    HttpReply silent;
+    silent.way = HttpReply::Way::kSilent;
+    return silent;
+  });
   options.change_log = "127.0.0.1:2";  // nobody listens there
   start_with_faults();
   FrontClient client(controller->address());
@@ -119,10 +129,7 @@
   constexpr int kSockets = 32;
   constexpr int kStartsAtOnce = 12;
   constexpr const char* kOverdueAfter1300Ms = "325";  // a fourth of it
-  std::atomic<int> lookups_to_end{0};
-  std::mutex mutex;
-  std::vector<Clock::time_point> starts_of_load;
-  const auto script = [&](const HttpCall& call) {
+  const auto script = [this](const HttpCall& call) {
     const auto id = call.headers.find("Call-Kind");
     if (id != call.headers.end() && id->second == "load") {
       const std::lock_guard lock(mutex);
