--- a/tests/integration/crossings_test.cpp
+++ b/tests/integration/crossings_test.cpp
@@ -166,10 +166,11 @@
   }
   const std::string statement = "select 1 -- " + std::string(60'000, 'x');
   std::vector<std::unique_ptr<FrontClient>> filling;
-  for (int i = 0; i < 3; ++i) {
-    filling.push_back(std::make_unique<FrontClient>(controller->address()));
-    for (int tag = 1; tag <= 30; ++tag) filling.back()->invoke(tag, {{"service", "once"}}, statement);
-  }
+  for (int i = 0; i < 3; ++i) filling.push_back(std::make_unique<FrontClient>(controller->address()));
+  // Guards against one that connects once the memory is full: it waits to be accepted, and is never paused.
+  ASSERT_TRUE(controller->wait_for_counter("connections.accepted", 5));
+  for (auto& client : filling)
+    for (int tag = 1; tag <= 30; ++tag) client->invoke(tag, {{"service", "once"}}, statement);
   ASSERT_TRUE(controller->wait_for_counter("loop.reads_paused", 3));
   const long paused = controller->counters().at("loop.reads_paused");
   for (auto& client : going) client->ping(2);  // not answered before there is room
