Tests: requests beside unreadable bytes, cold engines under wall clocks an hour wrong, reloads in the soak

On the released program: a request that was read is closed without answer where its client also sent bytes that can't be read (after 57 ms) or a frame that never ends (after 2.2 s); with two thirds of the controllers' wall clocks an hour ahead or behind, 20 and 30 processes send a cold engine more than its budget 0.3 s after its start.

--- a/tests/integration/cold_engine_test.cpp
+++ b/tests/integration/cold_engine_test.cpp
@@ -11,6 +11,7 @@
 
 #include "change_log_stand_in.h"
 #include "controller_process.h"
+#include "faults/fault_switch.h"
 #include "front_client.h"
 #include "http_stand_in.h"
 
@@ -22,6 +23,8 @@
 
 constexpr double kCores = 8, kColdFrom = 0.3, kColdForS = 20, kFallMultiple = 2, kWindowS = 1, kWorkS = 0.2;
 constexpr auto kTraffic = 5s;
+constexpr const char* kAnHourAhead = "3600000000@0";
+constexpr const char* kAnHourBehind = "-3600000000@0";
 
 std::string settings_of(int processes, int self) {
   return R"({"balancers":)" + std::to_string(processes) + R"(,"me":)" + std::to_string(self) +
@@ -49,6 +52,8 @@
 
 class ColdEngine : public ::testing::TestWithParam<int> {
  protected:
+  void expect_sum_within_budget(bool wrong_clocks);
+
   // How many calls of mean work the settings allow it at that moment.
   double budget(double age_s) const {
     const double warm = std::clamp(age_s / kColdForS, 0.0, 1.0);
@@ -60,7 +65,7 @@
   Clock::time_point started;
 };
 
-TEST_P(ColdEngine, TheSumOfAllProcessesStaysWithinItsBudget) {
+void ColdEngine::expect_sum_within_budget(bool wrong_clocks) {
   const int processes = GetParam();
   HttpStandIn cold([this](const HttpCall& call) {
     if (call.method == "POST") {
@@ -84,6 +89,11 @@
     const int self = static_cast<int>(all.size());
     options.name = "n" + std::to_string(self);
     options.settings = settings_of(processes, self);
+    options.environment.clear();
+    if (wrong_clocks && self % 3 != 0) {
+      options.environment = faults::preload_environment();
+      options.environment[faults::kWallStepVariable] = self % 3 == 1 ? kAnHourAhead : kAnHourBehind;
+    }
     all.push_back(std::make_unique<ControllerProcess>(options));
   };
   for (int i = 0; i < processes / 2; ++i) begin();
@@ -129,6 +139,12 @@
   RecordProperty("sent", static_cast<int>(arrivals.size()));
 }
 
+TEST_P(ColdEngine, TheSumOfAllProcessesStaysWithinItsBudget) { expect_sum_within_budget(false); }
+
+TEST_P(ColdEngine, TheSumStaysWithinItsBudgetWhereWallClocksAreAnHourWrong) {
+  expect_sum_within_budget(true);
+}
+
 INSTANTIATE_TEST_SUITE_P(Processes, ColdEngine, ::testing::Values(20, 30));
 
 }  // namespace
--- a/tests/integration/crossings_test.cpp
+++ b/tests/integration/crossings_test.cpp
@@ -181,6 +181,52 @@
   EXPECT_TRUE(only.wait_for("DELETE", going[1]->reference_of(1)));
 }
 
+// --- Closed by us -----------------------------------------------------------------------------------------
+
+// A request that was read has its answer before its client is closed for what it said besides.
+TEST_F(Crossing, ARequestBesideBytesThatCanNotBeReadIsAnsweredBeforeTheClose) {
+  HttpStandIn& only = engine([](const HttpCall& call) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(call.method == "GET" ? 300 : 0));
+    return call.method == "POST" ? reply(202) : serve_all(call);
+  });
+  start();
+  FrontClient in_pieces(controller->address());
+  in_pieces.invoke(1);
+  ASSERT_TRUE(only.wait_for("POST", "/v2/q"));
+  in_pieces.raw("\xff\xff\xff\xff");  // no frame is so long
+  EXPECT_EQ(in_pieces.receive().kind, Kind::kServed);
+  EXPECT_EQ(in_pieces.receive().kind, Kind::kClosed);
+  const auto counters = controller->counters();
+  EXPECT_EQ(counters.count("violations.answer_owed"), 0U);
+  EXPECT_EQ(counters.at("client_ends.unreadable"), 1);
+}
+
+TEST_F(Crossing, ARequestBesideAFrameThatNeverEndsIsAnsweredBeforeTheClose) {
+  engine([begun = std::chrono::steady_clock::now()](const HttpCall& call) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(call.method == "GET" ? 240 : 0));
+    const bool over = std::chrono::steady_clock::now() - begun > std::chrono::milliseconds(2800);
+    return over ? serve_all(call) : never_over(call);
+  });
+  start();
+  FrontClient client(controller->address());
+  client.invoke(1, {{"effort", "2000.0"}});            // not overdue meanwhile
+  client.raw(std::string("\x00\x00\x10\x00half", 8));  // silent for 2 s: closed
+  EXPECT_EQ(client.receive().kind, Kind::kServed);
+  EXPECT_EQ(client.receive().kind, Kind::kClosed);
+}
+
+TEST_F(Crossing, AClientThatIsToBeClosedAndLeavesIsSeen) {
+  HttpStandIn& only = engine(never_over);
+  start();
+  FrontClient client(controller->address());
+  client.invoke(1);
+  ASSERT_TRUE(only.wait_for("POST", "/v2/q"));
+  client.raw("\xff\xff\xff\xff");
+  client.close();
+  EXPECT_TRUE(only.wait_for("DELETE", client.reference_of(1)));
+  expect_nothing_open();
+}
+
 // --- The watch --------------------------------------------------------------------------------------------
 
 TEST_F(Crossing, AChangeLogThatLostItsEventsIsListedAnew) {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -248,7 +248,7 @@
         {3, [&] { stand_still(random); }},     {2, [&] { kill_one(random); }},
         {2, [&] { restart_one(random); }},     {5, [&] { spoil_engine(random); }},
         {1, [&] { crash_engine(random); }},    {1, [&] { replace_engine(random); }},
-        {1, [&] { fail_change_log(random); }}};
+        {1, [&] { fail_change_log(random); }}, {2, [&] { reload_one(random); }}};
     int weights = 0;
     for (const auto& [weight, make] : kinds) weights += weight;
     while (Clock::now() < end) {
@@ -297,6 +297,12 @@
     place.record->stood_still({from, Clock::now()});
   }
 
+  void reload_one(std::mt19937& random) {
+    Place& place = any_place(random);
+    const std::lock_guard one_at_a_time(place.fault);
+    place.process->signal(SIGHUP);
+  }
+
   void kill_one(std::mt19937& random) {
     const auto i = random() % places.size();
     Place& place = *places[i];
