--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The project's tasks. `make run` without BALANCER_CONFIG starts the embedded sample on loopback (README.md).
-.PHONY: build test lint run run-fleet ask bench fuzz loopback-rate service-days levels-on-sockets fleet-sizes keys-rate power-return store-sizes
+.PHONY: build test lint run run-fleet ask bench fuzz loopback-rate service-days levels-on-sockets fleet-sizes keys-rate power-return store-sizes soak
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DORCHIDGW_TESTS=OFF
@@ -74,3 +74,11 @@
 
 fuzz:
 	bash tests/fuzz.sh 2000000
+
+# Two dozen controllers under random overlapping faults, judged by the rules: make soak SEEDS=1-20 SECONDS=20
+SEEDS ?= 1-10
+SECONDS ?= 20
+soak:
+	cmake -B build-rate -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-rate -j4 --target orchidgw_soak_tests
+	ORCHIDGW_SOAK_SEEDS=$(SEEDS) ORCHIDGW_SOAK_SECONDS=$(SECONDS) build-rate/tests/orchidgw_soak_tests
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,5 +1,5 @@
-// Time as all packages count it. Instants and spans are microseconds on a clock that nobody sets; the wall clock
-// has a type of its own that does not convert to them, since it may be stepped at any moment.
+// Time as all packages count it. Instants and spans are microseconds on a clock that nobody sets; the wall
+// clock has a type of its own that does not convert to them, since it may be stepped at any moment.
 #pragma once
 
 #include <cstdint>
