--- a/tests/soak/soak_audit.h
+++ b/tests/soak/soak_audit.h
@@ -68,6 +68,7 @@
   void ended(const RequestId& id, StartNumber start, StartEnd end);
   void drains(const std::string& engine);  // told in the change log
   void change_log_was_down(Interval at);
+  void machine_stood_still(Interval at);  // this test's own threads got no core
 
   // All that was broken, a line each.
   std::vector<std::string> broken_rules() const;
@@ -94,6 +95,8 @@
   };
 
   static Instant over_at(const Start& start);
+  // Of the request's process or of the machine.
+  Clock::duration stood_still(const Request& request, Instant from, Instant to) const;
   void judge(const RequestId& id, const Request& request, std::vector<std::string>& out) const;
   void judge_answer(const Request& request, std::vector<std::string>& out) const;
   void judge_start(const Request& request, const Start& start, std::vector<std::string>& out) const;
@@ -104,6 +107,7 @@
   std::map<RequestId, Request> requests_;
   std::map<std::string, Instant> draining_;
   std::vector<Interval> change_log_down_;
+  std::vector<Interval> machine_still_;
 };
 
 }  // namespace orchidgw::soak
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -27,10 +27,16 @@
 using integration::FrontClient;
 using Kind = FrontAnswer::Kind;
 
+// Sanitized processes are slower by several times: so many hold real time on eight cores.
+#ifdef __SANITIZE_ADDRESS__
+constexpr int kControllers = 8;
+constexpr int kFaultThreads = 4;
+#else
 constexpr int kControllers = 24;
+constexpr int kFaultThreads = 9;
+#endif
 constexpr int kEngines = 8;
 constexpr int kClientsEach = 2;
-constexpr int kFaultThreads = 9;
 constexpr std::int64_t kUsPerMs = 1000;
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr milliseconds kStillComing{500};  // requests on open connections after SIGTERM
@@ -85,6 +91,7 @@
     }
     std::vector<std::thread> threads;
     const Instant end = Clock::now() + length;
+    threads.emplace_back([=, this] { watch_machine(end); });
     for (int i = 0; i < kControllers * kClientsEach; ++i)
       threads.emplace_back(
           [=, this] { be_a_client(i % kControllers, seed * 1000 + static_cast<unsigned>(i), end); });
@@ -98,6 +105,18 @@
     for (auto& thread : stopping) thread.join();
   }
 
+  // Where this machine has no core for a thread that only sleeps, it has none for the others either: that
+  // time is laid on nobody.
+  void watch_machine(Instant end) {
+    constexpr milliseconds kPause{5};
+    constexpr milliseconds kLateFrom{20};
+    while (Clock::now() < end + milliseconds(5000)) {
+      const Instant from = Clock::now();
+      std::this_thread::sleep_for(kPause);
+      if (Clock::now() - from > kPause + kLateFrom) audit.machine_stood_still({from, Clock::now()});
+    }
+  }
+
   void note(const std::string& line) {
     const std::lock_guard lock(mutex);
     problems.push_back(line);
