Late-start test: asks again that the repeat was wanted and that one start alone arrived

Cause: read again, the test that took the place of the wrong one had lost two of its checks: without a repeat it would have passed with nothing shown. Change: both checks are back; no other file.

--- a/tests/integration/stepped_clock_test.cpp
+++ b/tests/integration/stepped_clock_test.cpp
@@ -156,6 +156,7 @@
   lookup(kStartsAtOnce + 1);
   ASSERT_TRUE(first.wait_for("DELETE", client.reference_of(1)));
   std::this_thread::sleep_until(sent + kRepeatWindow + milliseconds(50));
+  EXPECT_EQ(controller->counters()["attempts.sent"], kStartsAtOnce + 2) << "the repeat was not asked for";
   lookups_to_end = 2;
   FrontAnswer answer;
   do {
@@ -163,6 +164,7 @@
   } while (answer.kind != Kind::kClosed && answer.sequence != 1);
   EXPECT_EQ(answer.kind, Kind::kRefused);
   const std::lock_guard lock(mutex);
+  EXPECT_EQ(starts_of_load.size(), 1U) << "sent after its window";
   for (const auto& at : starts_of_load) EXPECT_LT(at - starts_of_load.front(), kRepeatWindow);
 }
 
