Shutdown tests, failing: a stop under load never ends, and the kill finds requests read

Symptom: with clients that go on using their open connections the program does not end before the earliest SIGKILL, and the kill finds one request of each client read and unanswered.

--- a/tests/integration/front_client.cpp
+++ b/tests/integration/front_client.cpp
@@ -1,8 +1,10 @@
 #include "front_client.h"
 
+#include <sys/socket.h>
 #include <thrift/TApplicationException.h>
 
 #include <atomic>
+#include <cerrno>
 #include <cstdio>
 
 namespace orchidgw::integration {
@@ -19,8 +21,10 @@
 using apache::thrift::protocol::T_STRING;
 using apache::thrift::protocol::TBinaryProtocol;
 using apache::thrift::protocol::TMessageType;
+using apache::thrift::protocol::TProtocol;
 using apache::thrift::protocol::TType;
 using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TMemoryBuffer;
 using apache::thrift::transport::TSocket;
 
 constexpr int kLongTimeMs = 20'000;
@@ -48,25 +52,48 @@
 
 void FrontClient::close() { socket_->close(); }
 
-void FrontClient::invoke(std::int32_t sequence, const std::map<std::string, std::string>& more,
-                         const std::string& statement) {
+void FrontClient::write_invoke(TProtocol& protocol, std::int32_t sequence,
+                               const std::map<std::string, std::string>& more,
+                               const std::string& statement) const {
   std::map<std::string, std::string> fields = {{"service", "lookup"}, {"ref", reference_of(sequence)},
                                                {"allow", "60000"},    {"project", "acme"},
                                                {"effort", "100.0"},   {"mem", "16"}};
   for (const auto& [key, value] : more) fields[key] = value;
-  protocol_->writeMessageBegin("invoke", T_CALL, sequence);
-  protocol_->writeFieldBegin("fields", T_MAP, 1);
-  protocol_->writeMapBegin(T_STRING, T_STRING, static_cast<std::uint32_t>(fields.size()));
+  protocol.writeMessageBegin("invoke", T_CALL, sequence);
+  protocol.writeFieldBegin("fields", T_MAP, 1);
+  protocol.writeMapBegin(T_STRING, T_STRING, static_cast<std::uint32_t>(fields.size()));
   for (const auto& [key, value] : fields) {
-    protocol_->writeString(key);
-    protocol_->writeString(value);
+    protocol.writeString(key);
+    protocol.writeString(value);
   }
-  protocol_->writeFieldBegin("body", T_STRING, 2);
-  protocol_->writeBinary(statement);
-  protocol_->writeFieldStop();
+  protocol.writeFieldBegin("body", T_STRING, 2);
+  protocol.writeBinary(statement);
+  protocol.writeFieldStop();
+}
+
+void FrontClient::invoke(std::int32_t sequence, const std::map<std::string, std::string>& more,
+                         const std::string& statement) {
+  write_invoke(*protocol_, sequence, more, statement);
   framed_->flush();
 }
 
+std::string FrontClient::bytes_of_invoke(std::int32_t sequence,
+                                         const std::map<std::string, std::string>& more) {
+  const auto memory = std::make_shared<TMemoryBuffer>();
+  const auto framed = std::make_shared<TFramedTransport>(memory);
+  TBinaryProtocol protocol(framed);
+  protocol.setStrict(true, true);
+  write_invoke(protocol, sequence, more, "select * from sales_3.orders");
+  framed->flush();
+  return memory->getBufferAsString();
+}
+
+bool FrontClient::ended_by_peer() const {
+  char byte = 0;
+  const ssize_t n = ::recv(socket_->getSocketFD(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void FrontClient::abort(std::int32_t aborted) {
   protocol_->writeMessageBegin("abort", T_ONEWAY, 100'000 + aborted);
   protocol_->writeFieldBegin("seqid", T_I32, 1);
--- a/tests/integration/front_client.h
+++ b/tests/integration/front_client.h
@@ -31,14 +31,19 @@
               const std::string& statement = "select * from sales_3.orders");
   // The reference that `invoke` gives a request of that number; no other client's has it.
   std::string reference_of(std::int32_t sequence) const;
+  // The bytes that `invoke` would write.
+  std::string bytes_of_invoke(std::int32_t sequence, const std::map<std::string, std::string>& more = {});
   void abort(std::int32_t aborted);
   void ping(std::int32_t sequence);
   void call(const std::string& method, std::int32_t sequence);
   void raw(const std::string& bytes);
-  FrontAnswer receive();  // the next answer; kClosed if there is none
+  FrontAnswer receive();       // the next answer; kClosed if there is none
+  bool ended_by_peer() const;  // and nothing is left to be read before that
   void close();
 
  private:
+  void write_invoke(apache::thrift::protocol::TProtocol& protocol, std::int32_t sequence,
+                    const std::map<std::string, std::string>& more, const std::string& statement) const;
   void read_result(FrontAnswer& answer);
   void read_answer_struct(FrontAnswer& answer);
   void read_fields_struct(FrontAnswer& answer);
--- /dev/null
+++ b/tests/integration/shutdown_probe.cpp
@@ -0,0 +1,86 @@
+#include "shutdown_probe.h"
+
+#include <signal.h>
+#include <thrift/Thrift.h>
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+namespace orchidgw::integration {
+
+std::string settings_with_deadline(milliseconds deadline) {
+  const std::string microseconds = std::to_string(deadline.count() * 1000);
+  const auto query_class = [&](const std::string& name, const std::string& effect) {
+    return R"({"name":")" + name + R"(","aim":)" + microseconds + R"(,"deadline":)" + microseconds +
+           R"(,"effect":")" + effect + R"(","keyScope":"all","repeatWindow":1200000,"value":1})";
+  };
+  return R"({"balancers":1,"me":0,"myZone":"z","classes":[)" + query_class("lookup", "idempotent") + "," +
+         query_class("load", "deduplicated") + "," + query_class("once", "at_most_once") +
+         R"(],"domain":{"dop":[1,1,1],"sizeCores":[8],"kindMemoryMb":[16384],"bills":true},"shapes":["std"],)"
+         R"("policyLimits":{"maxAttempts":3,"cancel":true,"retryAfter":true,"maxRetryAfter":500000,)"
+         R"("connectTimeout":250000},"rules":{"stopSendingWithin":1000000},)"
+         R"("tenants":[{"name":"acme","portion":1,"quotaPerS":100000}]})";
+}
+
+ProbeClient::ProbeClient(const std::string& address, std::string query_class, milliseconds allow)
+    : client_(address), query_class_(std::move(query_class)), allow_(allow) {
+  thread_ = std::thread([this] { run(); });
+}
+
+ProbeClient::~ProbeClient() { join(); }
+
+void ProbeClient::join() {
+  if (thread_.joinable()) thread_.join();
+}
+
+void ProbeClient::run() {
+  std::int32_t sequence = 0;
+  while (!client_.ended_by_peer() && ask(++sequence)) continue;
+}
+
+bool ProbeClient::ask(std::int32_t sequence) {
+  std::map<std::string, std::string> fields = {
+      {"service", query_class_}, {"allow", std::to_string(allow_.count())}, {"effort", "5.0"}};
+  if (query_class_ == "load") fields["replay"] = "5c0f6e1a2b3d4c59" + client_.reference_of(sequence);
+  try {
+    client_.invoke(sequence, fields);
+  } catch (const apache::thrift::TException&) {
+    return false;  // not written whole
+  }
+  ProbedRequest request;
+  request.sent_at = ProbeClock::now();
+  request.answer = client_.receive().kind;
+  request.answered_at = ProbeClock::now();
+  requests_.push_back(request);
+  return request.answer != FrontAnswer::Kind::kClosed;
+}
+
+milliseconds earliest_kill(milliseconds longest_deadline) {
+  constexpr milliseconds kCountedAtMost{3000};
+  constexpr milliseconds kRequestsKeepComing{700};
+  return std::min(longest_deadline, kCountedAtMost) + kRequestsKeepComing;
+}
+
+Shutdown shut_down(ControllerProcess& controller, milliseconds longest_deadline) {
+  const ProbeClock::time_point asked_at = ProbeClock::now();
+  controller.signal(SIGTERM);
+  return wait_for_shutdown(controller, asked_at, longest_deadline);
+}
+
+Shutdown wait_for_shutdown(ControllerProcess& controller, ProbeClock::time_point asked_at,
+                           milliseconds longest_deadline) {
+  Shutdown shutdown;
+  shutdown.asked_at = asked_at;
+  auto ended = std::async(std::launch::async, [&controller, &shutdown] {
+    const int code = controller.wait_exit();
+    shutdown.over_at = ProbeClock::now();
+    return code;
+  });
+  if (ended.wait_until(asked_at + earliest_kill(longest_deadline)) == std::future_status::timeout)
+    controller.signal(SIGKILL);
+  shutdown.exit_code = ended.get();
+  return shutdown;
+}
+
+}  // namespace orchidgw::integration
