A shutdown ends before the earliest kill, with everything that was read answered

A signal that came while the process started or stood still counts from the earliest moment in which it can have been sent. Why it holds: each wait of the stop ends by the schedule, and no answer waits for an engine or a client. One test of the front door says now that the stop has begun before it looks at it, as the door is told the schedule; as strict.

--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -20,13 +20,14 @@
   kRetryShare,   // the retry budget of the route, or of all
   kShed,         // a reduced service level sheds it
   kNoIntent,     // it must not run twice, and no intent of it can be kept
+  kShutDown,     // the gateway shuts down before it could be answered
 };
-inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kNoIntent) + 1;
+inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kShutDown) + 1;
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasons> kNames = {
-      "none",          "decision", "rate",    "concurrency",  "line_full", "closed",
-      "held_too_long", "attempts", "outcome", "retry_budget", "shed",      "no_intent"};
+      "none",     "decision", "rate",         "concurrency", "line_full", "closed",   "held_too_long",
+      "attempts", "outcome",  "retry_budget", "shed",        "no_intent", "shut_down"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -46,6 +46,7 @@
   RequestTag tag = 0;
   std::optional<ClientRequest> request;  // none: it can't be used
   std::string why;                       // then: what is wrong with it
+  bool connection_drains = false;        // it closes behind the answers that are owed: no new query
 };
 
 struct RequestAborted {
@@ -94,6 +95,11 @@
   TimeUs until = 0;
 };
 
+// A planned shutdown has begun: every request has its final answer by then.
+struct ShutdownBegun {
+  TimeUs answer_by = 0;
+};
+
 // What a fleet leaves this controller, from now on.
 struct FleetShared {
   FleetShare module;
@@ -101,6 +107,6 @@
 };
 
 using Event = std::variant<EnginesChanged, CallAnswered, CallEnded, RequestAborted, ClientClosed, TimePassed,
-                           LimitsChanged, LevelSet, FleetShared, RequestArrived>;
+                           LimitsChanged, LevelSet, FleetShared, ShutdownBegun, RequestArrived>;
 
 }  // namespace orchidgw::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -139,6 +139,10 @@
   ++counters_.taken;
   touched_.push_back(id);
   if (keys_ && !may_be_taken_on(id)) return;
+  // Guards against a request that a shutdown leaves unanswered: it has the time until then, or is refused.
+  query.request.time_budget = std::min(query.request.time_budget, answer_by_ - now_);
+  if (event.connection_drains || query.request.time_budget <= 0)
+    return turn_away(id, Reason::kShutDown, longest_advice());
   const ClientRequest& r = query.request;
   if (levels_.on()) {
     levels_.meters()->taken(now_, r.class_name, r.tenant);
@@ -148,10 +152,16 @@
   const limits::Verdict verdict =
       limiter_.admit(now_, {id, class_index, r.tenant, use.table, !r.idempotency_key.empty(), r.time_budget});
   query.deadline = now_ + limiter_.time_for(id, r.time_budget);
-  set_timer_for(TimerKind::kOverdue, now_ + r.time_budget + bounds_.overdue_after, id, 0);
+  set_final_answer_timer(id, now_ + r.time_budget + bounds_.overdue_after);
   follow(id, verdict);
 }
 
+void Reducer::set_final_answer_timer(QueryId id, TimeUs due) {
+  const bool shut_down_before = answer_by_ < due;
+  const TimerKind kind = shut_down_before ? TimerKind::kShutDown : TimerKind::kOverdue;
+  set_timer_for(kind, std::min(due, answer_by_), id, 0);
+}
+
 std::string Reducer::identity_of(const QueryState& query) const {
   const ClassSettings& c = class_of(query);
   if (c.effect == Effect::kIdempotent) return "";
@@ -265,6 +275,12 @@
   module_->on_share(now_, event.module, *this);
 }
 
+// Those that are open and have more time than the shutdown leaves are answered at its end.
+void Reducer::on(ShutdownBegun& event) {
+  answer_by_ = std::min(answer_by_, event.answer_by);
+  for (const auto& [key, id] : open_) set_timer_for(TimerKind::kShutDown, answer_by_, id, 0);
+}
+
 double Reducer::cores() const {
   double sum = 0;
   for (const auto& [id, listing] : engines_) {
@@ -594,6 +610,19 @@
   if (with_module) module_->on_client_gone(now_, id, *this);
 }
 
+// Guards against a request that the end of the process leaves without an answer.
+void Reducer::shut_down(QueryId id) {
+  const QueryState* query = find_query(id);
+  if (query == nullptr || query->ended) return;
+  const bool with_module = query->let_in;
+  if (may_refuse(*query)) {
+    turn_away(id, Reason::kShutDown, longest_advice());
+  } else {
+    fail_because(id, "the gateway shuts down");
+  }
+  if (with_module) module_->on_client_gone(now_, id, *this);
+}
+
 // --- An attempt's end -------------------------------------------------------------------------------------
 
 // Nothing of it is at its engine any more.
@@ -692,6 +721,8 @@
       continue;
     } else if (timer.kind == TimerKind::kOverdue) {
       overdue(timer.query);
+    } else if (timer.kind == TimerKind::kShutDown) {
+      shut_down(timer.query);
     } else if (timer.kind == TimerKind::kStop) {
       stop_due(timer.query, timer.attempt);
     } else {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -114,7 +115,7 @@
     CallKind kind = CallKind::kNews;
   };
 
-  enum class TimerKind { kModule, kStop, kForgotten, kSample, kOverdue };
+  enum class TimerKind { kModule, kStop, kForgotten, kSample, kOverdue, kShutDown };
   struct Timer {
     TimerKind kind = TimerKind::kModule;
     std::uint64_t token = 0;  // of kModule
@@ -143,6 +144,7 @@
   void on(LimitsChanged& event);
   void on(LevelSet& event);
   void on(FleetShared& event);
+  void on(ShutdownBegun& event);
 
   // What is wrong with a request of that class; empty: nothing.
   std::string fault_of(const ClientRequest& request, const ClassSettings& c) const;
@@ -186,6 +188,8 @@
   void stop_due(QueryId id, std::size_t n);
   void forgotten_due(QueryId id, std::size_t n);
   void overdue(QueryId id);
+  void shut_down(QueryId id);
+  void set_final_answer_timer(QueryId id, TimeUs due);
   Denial start_denied(const QueryState& query, std::size_t n, TimeUs now) const;
   bool may_refuse(const QueryState& query) const;
   void note_violation(Denial denial, const QueryState& query);
@@ -247,7 +251,8 @@
   limits::Limiter limiter_;
   service_level::ServiceLevel levels_;
   double buffers_used_ = 0;
-  bool sampling_ = false;  // the timer for the next sample is set
+  TimeUs answer_by_ = std::numeric_limits<TimeUs>::max();  // of a shutdown that has begun
+  bool sampling_ = false;                                  // the timer for the next sample is set
   std::size_t held_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   QueryId last_query_ = 0;
--- a/src/net/attention.h
+++ b/src/net/attention.h
@@ -16,6 +16,7 @@
   bool turn_begins(TimeUs now) {
     const TimeUs late = back_by_ > 0 ? std::max<TimeUs>(now - back_by_ - kSlack, 0) : 0;
     lost_ += late;
+    late_ = late;
     back_by_ = now;
     reads_first_ = late > 0 && !reads_first_;
     return reads_first_;
@@ -24,6 +25,9 @@
   // The turn is over; the loop waits at most so long (us).
   void loop_waits(TimeUs wait) { back_by_ += wait; }
 
+  // In us: by so much the turn that began last was late.
+  TimeUs late() const { return late_; }
+
   // In us, all in all. A limit of time that is counted without it lays nothing of that on the other side.
   TimeUs lost() const { return lost_; }
 
@@ -31,6 +35,7 @@
   static constexpr TimeUs kSlack = 20'000;  // what turns take and timers are late by without a stall
   TimeUs back_by_ = 0;                      // 0: no turn yet
   TimeUs lost_ = 0;
+  TimeUs late_ = 0;
   bool reads_first_ = false;  // the last turn was left out
 };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -19,6 +19,7 @@
 constexpr TimeUs kFrameWithin = 2'000'000;  // from its first byte; the first one from the connection's start
 constexpr TimeUs kUnreadFor = 5'000'000;    // an answer of which nothing moves: the client is gone
 constexpr TimeUs kIdleFor = 5'000'000;      // clients close an idle connection after 4 s themselves
+constexpr TimeUs kSettled = 100'000;        // so long without a byte: none is on the way
 constexpr int kUnusableMost = 8;            // requests of one connection that break the protocol's rules
 constexpr TimeUs kUsPerMs = 1000;
 constexpr std::size_t kHeldMost = 32;                  // calls of one that is paused
@@ -64,6 +65,13 @@
 
 void ClientConnection::on_readable() {
   if (lingering_) return throw_away();
+  read_what_lies_there();
+  // Guards against a shutdown that waits for clients which always have a request open. Reading goes on: an
+  // abort that is not read would let an attempt begin for nobody.
+  if (totals_.shutting_down && !paused_ && owed() > 0) draining_ = true;
+}
+
+void ClientConnection::read_what_lies_there() {
   for (int i = 0; i < kReadsAtOnce; ++i) {
     if (context_.crowded() || is_full()) pause();
     if (paused_ && !may_hold_more()) return channel_.want_read(false);
@@ -141,7 +149,7 @@
     send(thrift::pong(call.sequence, ready_()));
   } else if (call.kind == Kind::kInvoke) {
     owed_.insert(call.sequence);
-    context_.post(core::RequestArrived{id_, call.sequence, call.request, call.why});
+    context_.post(core::RequestArrived{id_, call.sequence, call.request, call.why, draining_});
   } else {
     const auto error = thrift::ApplicationError::kUnknownMethod;
     send(thrift::application_exception(call.name, call.sequence, error, "unknown method"));
@@ -167,7 +175,8 @@
 }
 
 void ClientConnection::close_if_answered() {
-  if (closing_as_ && out_.empty() && close_denied(owed()) == Denial::kNone) close(*closing_as_);
+  const ConnectionEnd as = closing_as_.value_or(ConnectionEnd::kShutDown);
+  if (closes_behind_answers() && out_.empty() && close_denied(owed()) == Denial::kNone) close(as);
 }
 
 void ClientConnection::answer(core::AnswerServed& served) {
@@ -214,11 +223,12 @@
 void ClientConnection::flush() {
   std::uint64_t& written = context_.counters.client_bytes_out;
   const std::uint64_t before = written;
-  if (!write_chain(channel_.fd(), out_, written)) return close(ConnectionEnd::kResetMidAnswer);
+  const WriteEnd write_end = closes_behind_answers() && owed() == 0 ? WriteEnd::kIsLast : WriteEnd::kMayGoOn;
+  if (!write_chain(channel_.fd(), out_, written, write_end)) return close(ConnectionEnd::kResetMidAnswer);
   if (written != before) moved_at_ = monotonic_now();
   channel_.want_write(!out_.empty());
-  if (closing_as_) return close_if_answered();
-  if (paused_ && !is_full()) read_on();
+  if (closes_behind_answers()) close_if_answered();
+  if (is_open() && !closing_as_ && paused_ && !is_full()) read_on();
 }
 
 void ClientConnection::on_writable() {
@@ -277,6 +287,16 @@
   if (!out_.empty() && now - moved_at_ > kUnreadFor) close(ConnectionEnd::kSilent);
 }
 
+void ClientConnection::shut_down(TimeUs now, bool force) {
+  if (!is_open() || closing_as_) return;
+  if (!paused_) on_readable();  // the last look
+  if (!is_open() || closing_as_) return;
+  const bool rests = !paused_ && owed() == 0 && out_.empty() && settled(now);
+  if (rests || force) close_when_answered(ConnectionEnd::kShutDown);
+}
+
+bool ClientConnection::settled(TimeUs now) const { return now - moved_at_ > kSettled; }
+
 // Guards against attempts for a client that left while it was not read.
 void ClientConnection::look_if_gone() {
   if (paused_ && is_open() && has_left(channel_.fd())) close(ConnectionEnd::kClosedIdle);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -19,9 +19,10 @@
 
 // Of all clients together.
 struct ClientTotals {
-  std::size_t most = 0;    // bytes that their unfinished frames may hold
-  std::size_t held = 0;    // and do, with what those that are paused asked
-  std::size_t paused = 0;  // so many wait for memory, or until they read their answers
+  std::size_t most = 0;        // bytes that their unfinished frames may hold
+  std::size_t held = 0;        // and do, with what those that are paused asked
+  std::size_t paused = 0;      // so many wait for memory, or until they read their answers
+  bool shutting_down = false;  // each is closed behind its next answer
 };
 
 class ClientConnection final : public ChannelHandler {
@@ -44,11 +45,14 @@
   bool idle() const { return out_.empty() && !frames_.inside() && held_.empty(); }
   bool spoke() const { return spoke_; }  // a whole message has come
   TimeUs quiet_since() const { return moved_at_; }
+  bool settled(TimeUs now) const;  // none of its bytes is on the way
   std::size_t unsent() const { return out_.size(); }
   // Told to the owner at once; where the other side may not know yet, the descriptor lingers.
   void close(core::ConnectionEnd end);
   // Reads nothing more, and closes once every request that was read has its answer and it is written.
   void close_when_answered(core::ConnectionEnd end);
+  // Closes it once it rests or has the answers that are owed; with `force` it rests now.
+  void shut_down(TimeUs now, bool force);
   // Requests that were read and neither answered nor given up by the client.
   std::size_t owed() const { return owed_.size() + held_.size(); }
   bool lingers() const { return lingering_ && channel_.is_open(); }
@@ -63,6 +67,8 @@
   bool is_open() const { return channel_.is_open() && !lingering_; }
   void answered(std::int32_t sequence);
   void close_if_answered();
+  bool closes_behind_answers() const { return closing_as_ || draining_; }
+  void read_what_lies_there();
   void throw_away();
   bool take_frames(std::string_view bytes);
   bool take_call(thrift::FrontCall call);
@@ -93,6 +99,8 @@
   int unusable_ = 0;                               // requests that could not be taken
   std::multiset<std::int32_t> owed_;               // by their sequence numbers
   std::optional<core::ConnectionEnd> closing_as_;  // once nothing is owed
+  bool draining_ =
+      false;  // in a shutdown: what still comes is refused, and it is closed once nothing is owed
   bool spoke_ = false;
   bool paused_ = false;
   bool lingering_ = false;       // closed for its owner; what still comes is thrown away
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t kClientsPart = 3;       // of the descriptors: clients hold a third at the most
 constexpr std::size_t kDescriptorsKept = 32;  // listener, change log, signals, poll, standard ones
 constexpr TimeUs kWaitMost = 1'000'000;
-// After SIGTERM connections and requests keep coming for 0.6 s; what comes after 0.7 s is not ours any more.
-constexpr TimeUs kStillComing = 700'000;
 constexpr TimeUs kAcceptEvery = 10'000;
 constexpr TimeUs kAcceptedBy = 2'000'000;  // who waits in the system's line till then for a place is given up
 
@@ -94,7 +92,8 @@
           {bytes_for(config, kChangesPart), config.connect_timeout, config.settings.rules, config.seed}),
       front_door_(context_, listener, front_for(config), reducer_),
       signals_(reactor_, [this](int signal) { on_signal(signal); }),
-      ticker_(reactor_) {}
+      ticker_(reactor_),
+      created_at_(monotonic_now()) {}
 
 // Guards against running out of memory: who is not read keeps what he has to say. What was read in this turn
 // counts too, lest all clients together pass the bound in one.
@@ -313,8 +312,7 @@
   if (!events_.empty()) return 0;
   TimeUs due = std::min(now + kWaitMost, change_log_.next_due());
   if (!front_door_.empty()) due = std::min(due, front_door_.next_sweep());
-  if (stop_asked_at_ > 0 && listening_)
-    due = std::min(due, std::max(stop_asked_at_ + kStillComing, now + kAcceptEvery));
+  if (shutdown_) due = std::min(due, next_of_shutdown(now));
   if (const auto timer = reducer_.next_due()) due = std::min(due, *timer);
   if (const auto call = engines_.next_due()) due = std::min(due, *call);
   if (fleet_) due = std::min(due, now + fleet_->wait(monotonic_now()));
@@ -324,12 +322,30 @@
 void Controller::on_signal(int signal) {
   if (signal == SIGUSR1) return print_counters();
   if (signal == SIGHUP) return reload();
-  if (stop_asked_at_ > 0) return;
+  begin_shutdown();
+}
+
+// The earliest moment in which a signal that is read now can have been sent: nothing tells it of one that
+// came while the program started or stood still.
+TimeUs Controller::signal_sent_at() const {
+  const bool loop_has_just_begun = counters_.turns <= 1;
+  return loop_has_just_begun ? created_at_ : monotonic_now() - attention_.late();
+}
+
+void Controller::begin_shutdown() {
+  if (shutdown_) return;
   log_.write(log::Level::kInfo, "asked to stop: serving what still comes");
-  stop_asked_at_ = monotonic_now();
+  shutdown_ = shutdown_schedule(settings_.classes, signal_sent_at());
+  apply(monotonic_now(), core::ShutdownBegun{shutdown_->answer_by});
   reactor_.hurry();
 }
 
+TimeUs Controller::next_of_shutdown(TimeUs now) const {
+  if (now < shutdown_->close_from) return shutdown_->close_from;
+  if (listening_) return now + kAcceptEvery;
+  return now < shutdown_->answer_by ? shutdown_->answer_by : std::max(now, shutdown_->end_by);
+}
+
 void Controller::open_admin(const std::string& path) {
   admin_ = std::make_unique<AdminSocket>(context_, path,
                                          [this](const std::string& line) { return answer_admin(line); });
@@ -403,18 +419,24 @@
              {{"routes", routes}, {"levels", count}});
 }
 
-// Ends only when nothing is open and nothing can still arrive.
+// Ends when nothing is open and nothing can still arrive, and at the end of the schedule in any case: guards
+// against the kill, which takes with it what was read and has no answer.
 void Controller::stop_if_done(TimeUs now) {
-  if (stop_asked_at_ == 0 || now < stop_asked_at_ + kStillComing) return;
+  if (!shutdown_ || now < shutdown_->close_from) return;
+  front_door_.begin_shutdown(*shutdown_);
   if (listening_) {
-    listening_ = !front_door_.stop_listening(now >= stop_asked_at_ + kAcceptedBy);
+    const TimeUs give_up_at = std::min(shutdown_->asked_at + kAcceptedBy, shutdown_->answer_by);
+    listening_ = !front_door_.stop_listening(now >= give_up_at);
     return;
   }
-  if (!events_.empty() || reducer_.queries() > 0 || !front_door_.empty()) return;
+  const bool all_is_over = events_.empty() && reducer_.queries() == 0 && front_door_.empty();
+  if (!all_is_over && now < shutdown_->answer_by) return;
   // Parts go back before the process does: others need not wait for the end of a lease.
   if (fleet_) fleet_->leave(monotonic_now());
-  if (fleet_ && !fleet_->left(monotonic_now())) return;
-  log_.write(log::Level::kInfo, "nothing is open any more: stopping");
+  const bool left = !fleet_ || fleet_->left(monotonic_now());
+  if ((!all_is_over || !left) && now < shutdown_->end_by) return;
+  log_.write(log::Level::kInfo,
+             all_is_over ? "nothing is open any more: stopping" : "the time is over: stopping");
   front_door_.close_all();
   engines_.close_all();
   change_log_.close();
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/controller_config.h"
 #include "configuration/configuration.h"
 #include "core/reducer.h"
+#include "decision/shutdown_schedule.h"
 #include "log/log.h"
 #include "metrics/counters.h"
 #include "net/admin_socket.h"
@@ -67,7 +69,10 @@
   void put_in_force(const configuration::Configuration& fresh);
   void put_limits_in_force(std::shared_ptr<const limits::LimitSet> set,
                            std::shared_ptr<const service_level::LevelFile> levels);
+  TimeUs signal_sent_at() const;
+  void begin_shutdown();
   void stop_if_done(TimeUs now);
+  TimeUs next_of_shutdown(TimeUs now) const;
   void follow_fleet();
   core::KeyVerdict verdict(const std::string& identity) const;
   void send_promised(core::StartCall call);
@@ -99,7 +104,8 @@
   std::unique_ptr<FleetMember> fleet_;  // null: alone
   std::unique_ptr<Intents> intents_;    // null: none are kept
   WallClockWatch wall_clock_;
-  TimeUs stop_asked_at_ = 0;  // 0: not yet
+  TimeUs created_at_;
+  std::optional<ShutdownSchedule> shutdown_;  // once it was asked for
   bool listening_ = true;
 };
 
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr TimeUs kSweepEvery = 100'000;
-constexpr TimeUs kSettled = 100'000;      // a connection so long without a byte has none on the way
+constexpr TimeUs kShutdownSweepEvery = 10'000;
 constexpr TimeUs kLookEvery = 20'000;     // for paused clients that left: an attempt after it is soon a break
 constexpr TimeUs kLingerFor = 1'000'000;  // a client that was told of the end ends its side meanwhile
 constexpr std::size_t kLingerBesides = 16;  // descriptors: so many beside those of the clients' part
@@ -23,7 +23,7 @@
     : context_(context),
       listener_(context.reactor, listener, *this),
       limits_(limits),
-      totals_{limits.frame_bytes, 0, 0},
+      totals_{limits.frame_bytes, 0, 0, false},
       reducer_(reducer) {
   listener_.want_read(true);
 }
@@ -57,8 +57,7 @@
   const TimeUs now = monotonic_now();
   std::shared_ptr<ClientConnection> least;
   for (const auto& [id, client] : clients_) {
-    const bool settled = now - client->quiet_since() > kSettled;
-    if (!settled || (client->spoke() && !client->idle()) || has_open_requests(id)) continue;
+    if (!client->settled(now) || (client->spoke() && !client->idle()) || has_open_requests(id)) continue;
     const auto rank = [](const ClientConnection& c) { return std::pair(c.spoke(), c.quiet_since()); };
     if (!least || rank(*client) < rank(*least)) least = client;
   }
@@ -77,7 +76,7 @@
 }
 
 void FrontDoor::go_on_accepting() {
-  if (!paused_ || stopping_ || context_.crowded()) return;
+  if (!paused_ || shutdown_ || context_.crowded()) return;
   paused_ = false;
   listener_.want_read(true);
 }
@@ -117,14 +116,15 @@
   shed_unread();
   end_lingering(now);
   look_for_gone(now);
-  if (now - swept_at_ < kSweepEvery) return;
+  if (now - swept_at_ < sweep_every()) return;
   swept_at_ = now;
   sweep(now);
   go_on_accepting();
 }
 
 TimeUs FrontDoor::next_sweep() const {
-  return totals_.paused > 0 ? looked_at_ + kLookEvery : swept_at_ + kSweepEvery;
+  const TimeUs sweep = swept_at_ + sweep_every();
+  return totals_.paused > 0 ? std::min(sweep, looked_at_ + kLookEvery) : sweep;
 }
 
 // Guards against attempts for clients that left while they were not read, for memory or for unsent answers:
@@ -152,16 +152,20 @@
   for (const auto& [id, client] : all) {
     if (client->paused()) client->read_on();
     client->sweep(now, has_open_requests(id));
-    // A stop does not wait for clients that ask for nothing, nor for what they leave half said.
-    const bool done = client->unsent() == 0 && !has_open_requests(id);
-    if (stopping_ && done && now - client->quiet_since() > kSettled && client->still_quiet())
-      client->close(core::ConnectionEnd::kShutDown);
+    if (shutdown_) client->shut_down(now, now >= shutdown_->answer_by);
   }
 }
 
+void FrontDoor::begin_shutdown(const ShutdownSchedule& schedule) {
+  if (shutdown_) return;
+  shutdown_ = schedule;
+  totals_.shutting_down = true;
+}
+
+TimeUs FrontDoor::sweep_every() const { return shutdown_ ? kShutdownSweepEvery : kSweepEvery; }
+
 // Guards against a stop that throws away who waits to be accepted: the system counts these as connected.
 bool FrontDoor::stop_listening(bool give_up) {
-  stopping_ = true;
   if (!accept_all() && !give_up) return false;
   listener_.close();
   return true;
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -4,9 +4,11 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "core/effects.h"
 #include "core/reducer.h"
+#include "decision/shutdown_schedule.h"
 #include "net/channel.h"
 #include "net/client_connection.h"
 #include "net/context.h"
@@ -30,8 +32,10 @@
 
   void between_turns(TimeUs now);
   TimeUs next_sweep() const;
+  // From here on clients are closed by that schedule.
+  void begin_shutdown(const ShutdownSchedule& schedule);
   // Who waits to be accepted is let in before; false while there is no room for all of them, and `give_up` is
-  // not said. Who is idle from the first time on is closed.
+  // not said.
   bool stop_listening(bool give_up);
   bool empty() const { return clients_.empty() && lingering_.empty(); }
   std::size_t lingering() const { return lingering_.size(); }
@@ -55,6 +59,7 @@
   void go_on_accepting();
   void shed_unread();
   void sweep(TimeUs now);
+  TimeUs sweep_every() const;
 
   Context& context_;
   Channel listener_;
@@ -71,7 +76,7 @@
   TimeUs swept_at_ = 0;
   TimeUs looked_at_ = 0;
   bool paused_ = false;
-  bool stopping_ = false;
+  std::optional<ShutdownSchedule> shutdown_;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -74,18 +74,21 @@
 
 bool end_writing(int fd) { return ::shutdown(fd, SHUT_WR) == 0; }
 
-Moved write_some(int fd, std::string_view bytes) {
+// Guards against a client that reads the last answer and writes again before the end of the connection
+// reaches it: held back until the end of writing, both go in one segment.
+Moved write_some(int fd, std::string_view bytes, WriteEnd end) {
+  const int flags = MSG_NOSIGNAL | (end == WriteEnd::kIsLast ? MSG_MORE : 0);
   ssize_t n = 0;
   do {
-    n = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    n = ::send(fd, bytes.data(), bytes.size(), flags);
   } while (n < 0 && errno == EINTR);
   if (n == 0) return {Moved::Kind::kLater, 0};
   return moved(n);
 }
 
-bool write_chain(int fd, BufferChain& chain, std::uint64_t& written) {
+bool write_chain(int fd, BufferChain& chain, std::uint64_t& written, WriteEnd end) {
   while (!chain.empty()) {
-    const Moved moved = write_some(fd, chain.front());
+    const Moved moved = write_some(fd, chain.front(), end);
     if (moved.kind != Moved::Kind::kBytes) return moved.kind == Moved::Kind::kLater;
     written += moved.bytes;
     chain.drop(moved.bytes);
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -18,7 +18,8 @@
 };
 
 Moved read_some(int fd, std::span<char> into);
-Moved write_some(int fd, std::string_view bytes);
+enum class WriteEnd { kMayGoOn, kIsLast };  // of the stream: its end is told together with its last bytes
+Moved write_some(int fd, std::string_view bytes, WriteEnd end = WriteEnd::kMayGoOn);
 
 // The other side has closed or reset the connection, whatever lies unread before that.
 bool has_left(int fd);
@@ -26,7 +27,7 @@
 bool end_writing(int fd);
 
 // Writes what the chain holds, as far as the socket takes it. False if the connection is gone.
-bool write_chain(int fd, BufferChain& chain, std::uint64_t& written);
+bool write_chain(int fd, BufferChain& chain, std::uint64_t& written, WriteEnd end = WriteEnd::kMayGoOn);
 
 // A descriptor, or -1 with the reason in errno.
 int listen_at(const core::Address& address);
--- a/tests/integration/front_door_test.cpp
+++ b/tests/integration/front_door_test.cpp
@@ -219,6 +219,8 @@
 TEST_F(FrontDoorTest, ARequestThatComesAsAStopClosesItsRestingConnectionIsRead) {
   open(4);
   auto socket = client();
+  const TimeUs now = net::monotonic_now();
+  door->begin_shutdown({now, now, now + 3 * kSecond, now + 4 * kSecond});
   ASSERT_TRUE(door->stop_listening(false));
   write(socket, invoke(2));
   door->between_turns(net::monotonic_now() + kSecond);
