A start asks again for what the system lacks for a moment

Cause: every call of a start was made once, and each failure taken for final. The same was found at bind, listen, epoll_create, eventfd, timerfd_create, signalfd, open and flock. Change: one table of calls and errors (base/system_call.h), asked by accept4 in service too; a start that lacks something that others give back is closed whole and tried again for 8 s (net/start_retry), listen(2) last, so that no client is let in by a try that fails later. Its exit names the call, the error and the count of tries. Why it holds: what a failed try opened is owned by objects of that try. In service EPROTO and EPERM at accept4 counted as "nobody waits"; a stop that met one closed the listener over who waited.

--- a/src/config/controller_config.cpp
+++ b/src/config/controller_config.cpp
@@ -1,10 +1,15 @@
 #include "config/controller_config.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
 #include <cstdlib>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
+#include "base/descriptor.h"
+#include "base/system_call.h"
 #include "config/address.h"
 #include "config/json_fields.h"
 #include "config/settings_reader.h"
@@ -70,13 +75,34 @@
   return config;
 }
 
+namespace {
+
+// Guards against a start or a reload that ends because the system lacked a descriptor for a moment.
+[[noreturn]] void fail_reading(const std::string& path) {
+  const SystemCallError error(SystemCall::kFile, errno, path);
+  if (error.may_pass()) throw error;
+  wrong("BALANCER_CONFIG", "the file can't be read");
+}
+
+std::string read_file(const std::string& path) {
+  const Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (file.get() < 0) fail_reading(path);
+  std::string text;
+  std::array<char, 16384> bytes{};
+  while (true) {
+    const ssize_t n = ::read(file.get(), bytes.data(), bytes.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) fail_reading(path);
+    if (n == 0) return text;
+    text.append(bytes.data(), static_cast<std::size_t>(n));
+  }
+}
+
+}  // namespace
+
 ControllerConfig load_controller_config(const std::string& path) {
   if (path.empty()) wrong("BALANCER_CONFIG", "the path of the configuration is needed");
-  std::ifstream file(path, std::ios::binary);
-  if (!file) wrong("BALANCER_CONFIG", "the file can't be read");
-  std::ostringstream text;
-  text << file.rdbuf();
-  ControllerConfig config = parse_controller_config(text.str());
+  ControllerConfig config = parse_controller_config(read_file(path));
   override_from_environment(config);
   return config;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,14 +2,15 @@
 // is told to stop.
 #include <unistd.h>
 
-#include <cerrno>
-#include <cstring>
 #include <exception>
 #include <iostream>
+#include <memory>
 #include <ostream>
 #include <string>
+#include <utility>
 
 #include "admin/admin_command.h"
+#include "base/descriptor.h"
 #include "cli/command_line.h"
 #include "cli/commands.h"
 #include "cli/replay.h"
@@ -20,6 +21,7 @@
 #include "net/controller.h"
 #include "net/signals.h"
 #include "net/sockets.h"
+#include "net/start_retry.h"
 
 namespace {
 
@@ -31,35 +33,54 @@
   return orchidgw::cli::kBad;
 }
 
+// Everything that a serving process has: opened by its constructor, closed again where one of the parts can't
+// be had.
+class Service {
+ public:
+  explicit Service(const Sources& sources)
+      : configuration_(orchidgw::configuration::load(sources, nullptr)),
+        output_(STDERR_FILENO),
+        lines_(&output_),
+        log_(lines_, configuration_.log.level, configuration_.controller.name) {
+    const auto& listen = configuration_.controller.listen;
+    orchidgw::Descriptor listener = orchidgw::net::bind_at(listen);
+    const int listener_fd = listener.get();
+    controller_ = std::make_unique<orchidgw::net::Controller>(
+        configuration_, std::move(listener), log_, [&sources](const orchidgw::Settings& running) {
+          return orchidgw::configuration::load(sources, &running);
+        });
+    if (configuration_.fleet) join_fleet();
+    if (!sources.intents.empty()) controller_->open_intents(sources.intents);
+    if (!sources.admin.empty()) controller_->open_admin(sources.admin);
+    // Last: a client that is let in by a start that fails later would lose what it asked.
+    orchidgw::net::listen_on(listener_fd, listen);
+    log_.write(orchidgw::log::Level::kInfo,
+               "listening on " + listen.host + ":" + std::to_string(listen.port));
+  }
+
+  void run() { controller_->run(); }
+
+ private:
+  void join_fleet() {
+    orchidgw::Descriptor listener;
+    if (const auto* keeper = configuration_.fleet->keeper_named(configuration_.controller.name))
+      listener = orchidgw::net::listen_at(keeper->address);
+    controller_->join_fleet(configuration_, listener.release());
+  }
+
+  Configuration configuration_;
+  orchidgw::log::BoundedOutput output_;
+  std::ostream lines_;
+  orchidgw::log::Logger log_;
+  std::unique_ptr<orchidgw::net::Controller> controller_;
+};
+
 int serve(const Sources& sources) {
   orchidgw::net::hold_signals();
-  const Configuration configuration = orchidgw::configuration::load(sources, nullptr);
-  const auto& listen = configuration.controller.listen;
-  const std::string at = listen.host + ":" + std::to_string(listen.port);
-  const int listener = orchidgw::net::listen_at(listen);
-  if (listener < 0) return fail("listen: " + at + ": " + std::strerror(errno));
-  orchidgw::log::BoundedOutput output(STDERR_FILENO);
-  std::ostream lines(&output);
-  orchidgw::log::Logger log(lines, configuration.log.level, configuration.controller.name);
-  orchidgw::net::Controller controller(configuration, listener, log,
-                                       [&sources](const orchidgw::Settings& running) {
-                                         return orchidgw::configuration::load(sources, &running);
-                                       });
-  if (configuration.fleet) {
-    int keeper_listener = -1;
-    if (const auto* keeper = configuration.fleet->keeper_named(configuration.controller.name)) {
-      keeper_listener = orchidgw::net::listen_at(keeper->address);
-      if (keeper_listener < 0) {
-        const std::string keeper_at = keeper->address.host + ":" + std::to_string(keeper->address.port);
-        return fail("fleet: " + keeper_at + ": " + std::strerror(errno));
-      }
-    }
-    controller.join_fleet(configuration, keeper_listener);
-  }
-  if (!sources.intents.empty()) controller.open_intents(sources.intents);
-  if (!sources.admin.empty()) controller.open_admin(sources.admin);
-  log.write(orchidgw::log::Level::kInfo, "listening on " + at);
-  controller.run();
+  std::unique_ptr<Service> service;
+  const auto result =
+      orchidgw::net::start_with_retries([&] { service = std::make_unique<Service>(sources); });
+  if (result == orchidgw::net::StartResult::kStarted) service->run();
   return orchidgw::cli::kGood;
 }
 
--- a/src/net/admin_socket.cpp
+++ b/src/net/admin_socket.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 
 #include "admin/admin_command.h"
+#include "base/system_call.h"
 #include "net/clock.h"
 
 namespace orchidgw::net {
@@ -54,6 +55,8 @@
     ::close(fd);
     fail(path, "another process listens there");
   }
+  const SystemCallError error(SystemCall::kSocket, errno, path);
+  if (error.may_pass()) throw error;
   if (errno == ECONNREFUSED) ::unlink(path.c_str());
 }
 
@@ -61,14 +64,17 @@
   const sockaddr_un at = address_of(path);
   remove_dead(path);
   const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) fail(path, std::strerror(errno));
+  if (fd < 0) throw SystemCallError(SystemCall::kSocket, errno, path);
   const mode_t before = ::umask(0177);  // its owner alone, from the first moment
   const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
-  const int error = errno;
+  const int bind_error = errno;
   ::umask(before);
   if (bound && ::listen(fd, kBacklog) == 0) return fd;
+  const int listen_error = errno;
   ::close(fd);
-  fail(path, std::strerror(error));
+  if (!bound) throw SystemCallError(SystemCall::kBind, bind_error, path);
+  ::unlink(path.c_str());
+  throw SystemCallError(SystemCall::kListen, listen_error, path);
 }
 
 }  // namespace
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -58,18 +58,18 @@
 
 }  // namespace
 
-Controller::Controller(const configuration::Configuration& configuration, int listener, log::Logger& log,
-                       Reload reload)
+Controller::Controller(const configuration::Configuration& configuration, Descriptor listener,
+                       log::Logger& log, Reload reload)
     : Controller(configuration.controller,
-                 descriptors_for(configuration.fleet, configuration.controller.name), listener, log,
-                 std::move(reload)) {
+                 descriptors_for(configuration.fleet, configuration.controller.name), std::move(listener),
+                 log, std::move(reload)) {
   log_.choose(configuration.log);
   reducer_.set_trace(log.on(log::Level::kDebug, log::Component::kCore));
   if (configuration.limits) put_limits_in_force(configuration.limits, configuration.levels);
 }
 
-Controller::Controller(const config::ControllerConfig& config, std::size_t fleet_descriptors, int listener,
-                       log::Logger& log, Reload reload)
+Controller::Controller(const config::ControllerConfig& config, std::size_t fleet_descriptors,
+                       Descriptor listener, log::Logger& log, Reload reload)
     : log_(log),
       reload_(std::move(reload)),
       settings_(config.settings),
@@ -90,7 +90,7 @@
       change_log_(
           context_, config.change_log, config.known,
           {bytes_for(config, kChangesPart), config.connect_timeout, config.settings.rules, config.seed}),
-      front_door_(context_, listener, front_for(config), reducer_),
+      front_door_(context_, listener.release(), front_for(config), reducer_),
       signals_(reactor_, [this](int signal) { on_signal(signal); }),
       ticker_(reactor_),
       created_at_(monotonic_now()) {}
@@ -102,6 +102,9 @@
 }
 
 void Controller::run() {
+  if (intents_)
+    log_.write(log::Level::kInfo, log::Component::kCore, "intents are kept",
+               {{"found", static_cast<std::int64_t>(intents_->found())}});
   act(monotonic_now());
   reactor_.hurry();
   reactor_.run();
@@ -222,6 +225,8 @@
   };
   try {
     fleet_ = join();
+  } catch (const store::StoreUnavailable&) {
+    throw;  // the start is tried again: nothing is wrong with what is stored
   } catch (const store::StoreError& e) {
     if (!configuration.fleet->careful) throw;
     // It greets as no keeper: guards against another one on an empty disk that takes its word for "nobody
@@ -242,8 +247,6 @@
   intents_ = std::make_unique<Intents>(context_, folder,
                                        [this](core::StartCall call) { engines_.start(std::move(call)); });
   reducer_.set_keys([this](const std::string& identity) { return verdict(identity); });
-  log_.write(log::Level::kInfo, log::Component::kCore, "intents are kept",
-             {{"found", static_cast<std::int64_t>(intents_->found())}});
 }
 
 core::KeyVerdict Controller::verdict(const std::string& identity) const {
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/descriptor.h"
 #include "config/controller_config.h"
 #include "configuration/configuration.h"
 #include "core/reducer.h"
@@ -34,8 +35,9 @@
   // What a reload puts in force: read anew and checked against the settings that are in force.
   using Reload = std::function<configuration::Configuration(const Settings& running)>;
 
-  // `listener`: a listening descriptor, owned from here on. `reload` throws where anything is wrong.
-  Controller(const configuration::Configuration& configuration, int listener, log::Logger& log,
+  // `listener`: a bound descriptor; clients can connect once `net::listen_on` was called for it. `reload`
+  // throws where anything is wrong.
+  Controller(const configuration::Configuration& configuration, Descriptor listener, log::Logger& log,
              Reload reload);
 
   // Throws std::runtime_error where it can't be opened.
@@ -51,7 +53,7 @@
   void run();  // until a planned restart is over
 
  private:
-  Controller(const config::ControllerConfig& config, std::size_t fleet_descriptors, int listener,
+  Controller(const config::ControllerConfig& config, std::size_t fleet_descriptors, Descriptor listener,
              log::Logger& log, Reload reload);
   TimeUs turn();
   TimeUs read_first();
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -81,7 +81,7 @@
   keeper_ = std::make_unique<KeeperThread>(keeper_options(config, self, own_keeper_), config.store,
                                            store::StoredOwner{config.name, config.number, own_keeper_, {}},
                                            role_.holder().terms());
-  wake_ = std::make_unique<Channel>(context.reactor, ::dup(keeper_->wake_fd()), *this);
+  wake_ = std::make_unique<Channel>(context.reactor, keeper_->wake_descriptor(), *this);
   wake_->want_read(true);
 }
 
--- a/src/net/fleet_port.cpp
+++ b/src/net/fleet_port.cpp
@@ -40,9 +40,9 @@
   // Each member has one connection here, another while an old one is not known to be dead; keepers as well.
   const std::size_t most = 2 * static_cast<std::size_t>(config_.largest) + 4 * config_.keepers.size();
   while (true) {
-    const int fd = accept_one(listener_->fd());
-    if (fd < 0) return;
-    auto link = open(fd, true);
+    const Accepted accepted = accept_one(listener_->fd());
+    if (accepted.kind != Accepted::Kind::kClient) return;
+    auto link = open(accepted.fd, true);
     if (!link->is_open()) continue;
     accepted_[link->id()] = link;
     if (accepted_.size() <= most) continue;
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -1,7 +1,6 @@
 #include "net/front_door.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <limits>
 #include <utility>
 
@@ -33,16 +32,15 @@
 bool FrontDoor::accept_all() {
   while (true) {
     if (context_.crowded() || (clients_.size() >= limits_.clients && !make_room())) return no_room();
-    const int fd = accept_one(listener_.fd());
-    if (fd < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM))
-      return no_room();
-    if (fd < 0) return true;
+    const Accepted accepted = accept_one(listener_.fd());
+    if (accepted.kind == Accepted::Kind::kNoRoom) return no_room();
+    if (accepted.kind == Accepted::Kind::kNobodyWaits) return true;
     ++context_.counters.accepted;
     context_.counters.clients.up();
     const core::ClientId id = ++last_id_;
     const auto ended = [this](core::ClientId client, core::ConnectionEnd end) { closed(client, end); };
     const auto ready = [this] { return reducer_.ready(); };
-    clients_[id] = std::make_shared<ClientConnection>(context_, id, fd, totals_, ready, ended);
+    clients_[id] = std::make_shared<ClientConnection>(context_, id, accepted.fd, totals_, ready, ended);
   }
 }
 
--- a/src/net/intents.cpp
+++ b/src/net/intents.cpp
@@ -31,7 +31,7 @@
         found_ = found.size();
         return recovery::KeyBook(boot_id(), monotonic_now(), found, kIntentsMost);
       }()) {
-  channel_ = std::make_unique<Channel>(context.reactor, ::dup(wake_.fd()), *this);
+  channel_ = std::make_unique<Channel>(context.reactor, wake_.duplicate(), *this);
   channel_->want_read(true);
   thread_ = std::thread([this] { run(); });
 }
--- a/src/net/keeper_thread.h
+++ b/src/net/keeper_thread.h
@@ -59,8 +59,9 @@
   KeeperThread(const KeeperThread&) = delete;
   KeeperThread& operator=(const KeeperThread&) = delete;
 
-  int wake_fd() const { return wake_.fd(); }  // readable while there is something to take; `take` clears it
-  bool post(Input input);                     // false: the queue is full, the message is left out
+  // Readable while there is something to take; `take` clears it. Owned by the caller. Throws SystemCallError.
+  int wake_descriptor() const { return wake_.duplicate(); }
+  bool post(Input input);  // false: the queue is full, the message is left out
   Output take();
   std::string status() const;  // as of a moment ago
 
--- a/src/net/loop_ticker.cpp
+++ b/src/net/loop_ticker.cpp
@@ -3,8 +3,11 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 
+#include "base/system_call.h"
+
 namespace orchidgw::net {
 namespace {
 
@@ -17,7 +20,9 @@
   pace.it_value.tv_nsec = kPeriodNs;
   pace.it_interval.tv_nsec = kPeriodNs;
   if (timerfd_settime(fd, 0, &pace, nullptr) == 0) return fd;
+  const int error = errno;
   ::close(fd);
+  errno = error;
   return -1;
 }
 
@@ -25,7 +30,11 @@
 
 LoopTicker::LoopTicker(Reactor& reactor) {
   const int fd = open_timer();
-  if (fd < 0) return;
+  if (fd < 0) {
+    const SystemCallError error(SystemCall::kTimerDescriptor, errno, "start");
+    if (error.may_pass()) throw error;
+    return;
+  }
   channel_ = std::make_unique<Channel>(reactor, fd, *this);
   channel_->want_read(true);
 }
--- a/src/net/loop_ticker.h
+++ b/src/net/loop_ticker.h
@@ -12,7 +12,8 @@
 // left of it from the wall clock, and a step back in that moment prolongs the wait by as much.
 class LoopTicker final : public ChannelHandler {
  public:
-  // Where the system has no timer to give, the loop goes on without it.
+  // Throws SystemCallError where the system lacks a descriptor for a moment; where it has no such timers, the
+  // loop goes on without.
   explicit LoopTicker(Reactor& reactor);
 
   void close();
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -5,9 +5,10 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <system_error>
 #include <utility>
 
+#include "base/system_call.h"
+
 namespace orchidgw::net {
 namespace {
 
@@ -25,7 +26,7 @@
   hold_signals();
   const sigset_t set = all_read();
   const int fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-  if (fd < 0) throw std::system_error(errno, std::generic_category(), "signalfd");
+  if (fd < 0) throw SystemCallError(SystemCall::kSignalDescriptor, errno, "start");
   return fd;
 }
 
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -8,6 +8,9 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <string>
+
+#include "base/system_call.h"
 
 namespace orchidgw::net {
 namespace {
@@ -50,6 +53,10 @@
   }
 }
 
+std::string name_of_listener(const core::Address& address) {
+  return "listen: " + address.host + ":" + std::to_string(address.port);
+}
+
 Moved moved(ssize_t n) {
   if (n > 0) return {Moved::Kind::kBytes, static_cast<std::size_t>(n)};
   if (n == 0) return {Moved::Kind::kClosed, 0};
@@ -96,26 +103,45 @@
   return true;
 }
 
-int listen_at(const core::Address& address) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return -1;
-  set_option(fd, SOL_SOCKET, SO_REUSEADDR);
+Descriptor bind_at(const core::Address& address) {
+  const std::string what = name_of_listener(address);
+  Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (socket.get() < 0) throw SystemCallError(SystemCall::kSocket, errno, what);
+  set_option(socket.get(), SOL_SOCKET, SO_REUSEADDR);
   const sockaddr_in at = system_address(address);
-  const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
-  if (bound && ::listen(fd, kBacklog) == 0) return fd;
-  const int error = errno;
-  ::close(fd);
-  errno = error;
-  return -1;
+  if (::bind(socket.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
+    throw SystemCallError(SystemCall::kBind, errno, what);
+  return socket;
 }
 
-int accept_one(int listener) {
-  int fd = -1;
-  do {
-    fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  } while (fd < 0 && (errno == EINTR || errno == ECONNABORTED));
-  if (fd >= 0) set_option(fd, IPPROTO_TCP, TCP_NODELAY);
-  return fd;
+void listen_on(int fd, const core::Address& address) {
+  if (::listen(fd, kBacklog) != 0)
+    throw SystemCallError(SystemCall::kListen, errno, name_of_listener(address));
+}
+
+Descriptor listen_at(const core::Address& address) {
+  Descriptor socket = bind_at(address);
+  listen_on(socket.get(), address);
+  return socket;
+}
+
+Accepted accept_one(int listener) {
+  while (true) {
+    const int fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      set_option(fd, IPPROTO_TCP, TCP_NODELAY);
+      return {Accepted::Kind::kClient, fd};
+    }
+    switch (meaning_of(SystemCall::kAccept, errno)) {
+      case ErrorMeaning::kTryAtOnce:
+        continue;
+      case ErrorMeaning::kTryLater:
+        return {Accepted::Kind::kNoRoom, -1};
+      case ErrorMeaning::kNothingNow:
+      case ErrorMeaning::kOver:
+        return {Accepted::Kind::kNobodyWaits, -1};
+    }
+  }
 }
 
 Connecting begin_connect(const core::Address& address) {
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -4,6 +4,7 @@
 #include <span>
 #include <string_view>
 
+#include "base/descriptor.h"
 #include "core/connection_end.h"
 #include "core/engine_listing.h"
 #include "net/buffer_pool.h"
@@ -29,9 +30,20 @@
 // Writes what the chain holds, as far as the socket takes it. False if the connection is gone.
 bool write_chain(int fd, BufferChain& chain, std::uint64_t& written, WriteEnd end = WriteEnd::kMayGoOn);
 
-// A descriptor, or -1 with the reason in errno.
-int listen_at(const core::Address& address);
-int accept_one(int listener);
+// A socket bound to that address. Throws SystemCallError.
+Descriptor bind_at(const core::Address& address);
+// Clients can connect from then on. Throws SystemCallError, which names the address.
+void listen_on(int fd, const core::Address& address);
+// Both at once.
+Descriptor listen_at(const core::Address& address);
+
+// Who waits next, or why nobody was accepted.
+struct Accepted {
+  enum class Kind { kClient, kNobodyWaits, kNoRoom };
+  Kind kind = Kind::kNobodyWaits;
+  int fd = -1;
+};
+Accepted accept_one(int listener);
 
 // Begins a connection: a descriptor, or -1 with its end.
 struct Connecting {
--- /dev/null
+++ b/src/net/start_retry.cpp
@@ -0,0 +1,81 @@
+#include "net/start_retry.h"
+
+#include <Poco/Exception.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <system_error>
+#include <thread>
+
+#include "base/system_call.h"
+#include "base/time.h"
+#include "net/clock.h"
+#include "store/log_store.h"
+
+namespace orchidgw::net {
+namespace {
+
+constexpr TimeUs kFirstPause = 10'000;
+constexpr TimeUs kLongestPause = 500'000;
+constexpr TimeUs kTriesFor = 8'000'000;  // a restart is to be ready within 10 s
+constexpr TimeUs kLook = 5'000;          // for a signal, within a pause
+
+// A SIGTERM or SIGINT is held back.
+bool stop_requested() {
+  sigset_t held;
+  sigemptyset(&held);
+  sigpending(&held);
+  return sigismember(&held, SIGTERM) == 1 || sigismember(&held, SIGINT) == 1;
+}
+
+// True if the process is to end, now or within the pause.
+bool stop_requested_within(TimeUs pause) {
+  const TimeUs until = monotonic_now() + pause;
+  while (!stop_requested()) {
+    if (monotonic_now() >= until) return false;
+    std::this_thread::sleep_for(std::chrono::microseconds(kLook));
+  }
+  return true;
+}
+
+std::string after_tries(const std::exception& last, int tries) {
+  return std::string(last.what()) + " (tried " + std::to_string(tries) + (tries == 1 ? " time)" : " times)");
+}
+
+// The call that ended that try; none: it came through. Other exceptions pass.
+std::optional<SystemCallError> failure_of(const std::function<void()>& start) {
+  try {
+    start();
+    return std::nullopt;
+  } catch (const SystemCallError& e) {
+    return e;
+  } catch (const store::StoreUnavailable& e) {
+    return e.cause();
+  } catch (const Poco::Exception& e) {  // the reactor's own descriptors
+    return SystemCallError(SystemCall::kEpoll, e.code(), "start");
+  } catch (const std::system_error& e) {  // std::thread's
+    return SystemCallError(SystemCall::kThread, e.code().value(), "start");
+  }
+}
+
+}  // namespace
+
+StartResult start_with_retries(const std::function<void()>& start) {
+  const TimeUs begun_at = monotonic_now();
+  TimeUs pause = kFirstPause;
+  for (int tries = 1;; ++tries) {
+    if (stop_requested_within(0)) return StartResult::kStopRequested;
+    const std::optional<SystemCallError> failure = failure_of(start);
+    if (!failure) return StartResult::kStarted;
+    const bool time_is_over = monotonic_now() - begun_at + pause > kTriesFor;
+    if (!failure->may_pass() || time_is_over) throw std::runtime_error(after_tries(*failure, tries));
+    if (stop_requested_within(pause)) return StartResult::kStopRequested;
+    pause = std::min(pause * 2, kLongestPause);
+  }
+}
+
+}  // namespace orchidgw::net
--- a/src/net/wake.cpp
+++ b/src/net/wake.cpp
@@ -1,5 +1,6 @@
 #include "net/wake.h"
 
+#include <fcntl.h>
 #include <pthread.h>
 #include <signal.h>
 #include <sys/eventfd.h>
@@ -7,12 +8,19 @@
 
 #include <cerrno>
 #include <cstdint>
-#include <system_error>
+
+#include "base/system_call.h"
 
 namespace orchidgw::net {
 
 Wake::Wake() : fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
-  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
+  if (fd_ < 0) throw SystemCallError(SystemCall::kEventDescriptor, errno, "start");
+}
+
+int Wake::duplicate() const {
+  const int fd = ::fcntl(fd_, F_DUPFD_CLOEXEC, 0);
+  if (fd < 0) throw SystemCallError(SystemCall::kEventDescriptor, errno, "start");
+  return fd;
 }
 
 Wake::~Wake() { ::close(fd_); }
--- a/src/net/wake.h
+++ b/src/net/wake.h
@@ -5,11 +5,12 @@
 
 class Wake {
  public:
-  Wake();  // throws std::system_error
+  Wake();  // throws SystemCallError
   ~Wake();
   Wake(const Wake&) = delete;
   Wake& operator=(const Wake&) = delete;
-  int fd() const { return fd_; }  // readable from `ring` until `heard`
+  // Readable from `ring` until `heard`; owned by the caller. Throws SystemCallError.
+  int duplicate() const;
   void ring();
   void heard();
 
--- a/src/operator_file/loader.cpp
+++ b/src/operator_file/loader.cpp
@@ -6,6 +6,8 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "base/descriptor.h"
+#include "base/system_call.h"
 #include "operator_file/operator_file.h"
 #include "operator_file/yaml_tree.h"
 
@@ -14,24 +16,17 @@
 
 constexpr int kReadings = 5;  // of a file that changes meanwhile
 
-class Descriptor {
- public:
-  explicit Descriptor(int fd) : fd_(fd) {}
-  ~Descriptor() {
-    if (fd_ >= 0) ::close(fd_);
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  int get() const { return fd_; }
-
- private:
-  int fd_;
-};
-
 [[noreturn]] void fail(const std::string& path, const std::string& why) {
   throw std::runtime_error(path + ": " + why);
 }
 
+// Guards against a start or a reload that ends because the system lacked a descriptor for a moment.
+[[noreturn]] void fail_call(const std::string& path) {
+  const SystemCallError error(SystemCall::kFile, errno, path);
+  if (error.may_pass()) throw error;
+  fail(path, std::strerror(error.code().value()));
+}
+
 bool same(const struct stat& a, const struct stat& b) {
   return a.st_dev == b.st_dev && a.st_ino == b.st_ino && a.st_size == b.st_size &&
          a.st_mtim.tv_sec == b.st_mtim.tv_sec && a.st_mtim.tv_nsec == b.st_mtim.tv_nsec;
@@ -43,7 +38,7 @@
   while (text.size() <= most) {
     const ssize_t n = ::read(fd, bytes, sizeof bytes);
     if (n < 0 && errno == EINTR) continue;
-    if (n < 0) fail(path, std::strerror(errno));
+    if (n < 0) fail_call(path);
     if (n == 0) break;
     text.append(bytes, static_cast<std::size_t>(n));
   }
@@ -56,14 +51,14 @@
   for (int reading = 0; reading < kReadings; ++reading) {
     // Not blocking: a pipe of that name must not hold up the loop.
     const Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK));
-    if (file.get() < 0) fail(path, std::strerror(errno));
+    if (file.get() < 0) fail_call(path);
     struct stat before {};
     struct stat after {};
     struct stat named {};
-    if (::fstat(file.get(), &before) != 0) fail(path, std::strerror(errno));
+    if (::fstat(file.get(), &before) != 0) fail_call(path);
     if (!S_ISREG(before.st_mode)) fail(path, "not a plain file");
     std::string text = read_all(path, file.get(), bytes_most);
-    if (::fstat(file.get(), &after) != 0) fail(path, std::strerror(errno));
+    if (::fstat(file.get(), &after) != 0) fail_call(path);
     if (::stat(path.c_str(), &named) != 0) continue;  // between two files: look again
     if (same(before, after) && same(after, named)) return text;
   }
--- a/src/store/lmdb_environment.cpp
+++ b/src/store/lmdb_environment.cpp
@@ -81,23 +81,34 @@
 }
 
 Environment::Environment(const std::string& folder, std::size_t bytes_most, bool reads) : folder_(folder) {
-  const auto fail = [this, &folder](const std::string& why) {
+  const auto close_all = [this] {
     if (env_ != nullptr) mdb_env_close(env_);
     if (lock_ >= 0) ::close(lock_);
+  };
+  const auto fail = [&close_all, &folder](const std::string& why) {
+    close_all();
     throw StoreError(folder + ": " + why, false);
   };
+  const auto fail_call = [&close_all, &folder](SystemCall call, int error, const std::string& why) {
+    close_all();
+    const std::string what = folder + ": " + why;
+    const SystemCallError cause(call, error, what);
+    if (cause.may_pass()) throw StoreUnavailable(what, cause);
+    throw StoreError(what, false);
+  };
   const std::string file = folder + "/data.mdb";
   if (reads && ::access(file.c_str(), R_OK) != 0) fail(std::strerror(errno));
   lock_ = ::open((folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
-  if (lock_ < 0) fail(std::strerror(errno));
+  if (lock_ < 0) fail_call(SystemCall::kFile, errno, std::strerror(errno));
   // Guards against two processes that vote as one keeper.
-  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) fail("another process has it");
-  if (mdb_env_create(&env_) != 0) fail("no memory");
+  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) fail_call(SystemCall::kLock, errno, "another process has it");
+  if (mdb_env_create(&env_) != 0) fail_call(SystemCall::kFile, ENOMEM, "no memory");
   const unsigned flags = MDB_NOTLS | MDB_NOLOCK | (reads ? MDB_RDONLY : 0U);
   int code = mdb_env_set_maxdbs(env_, kTablesMost);
   if (code == 0) code = mdb_env_set_mapsize(env_, bytes_most);
   if (code == 0) code = mdb_env_set_assert(env_, damaged);
   if (code == 0) code = mdb_env_open(env_, folder.c_str(), flags, kFileMode);
+  if (code > 0) fail_call(SystemCall::kFile, code, mdb_strerror(code));  // LMDB's own codes are negative
   MDB_envinfo info{};
   MDB_stat pages{};
   if (code == 0) code = mdb_env_info(env_, &info);
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "base/system_call.h"
+
 namespace orchidgw::store {
 
 inline constexpr std::uint32_t kCommandEntry = 1;  // carries what was agreed on; others are the log's own
@@ -60,6 +62,17 @@
   bool full_;
 };
 
+// A store that can't be opened for want of something that others give back.
+class StoreUnavailable : public StoreError {
+ public:
+  StoreUnavailable(const std::string& what, const SystemCallError& cause)
+      : StoreError(what, false), cause_(cause) {}
+  const SystemCallError& cause() const { return cause_; }
+
+ private:
+  SystemCallError cause_;
+};
+
 // Calls gather in order until `commit`, which makes them durable together: all or none. Those that gather
 // never fail; `load` and `commit` throw StoreError.
 class LogStore {
--- a/tests/faults/fault_library.cpp
+++ b/tests/faults/fault_library.cpp
@@ -2,15 +2,20 @@
 // Calls the kernel directly, so that it works before the C library and a sanitizer's interceptors are set up.
 #include <fcntl.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/file.h>
 #include <sys/mman.h>
+#include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <sys/time.h>
+#include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <cstdarg>
 #include <cstdlib>
 #include <iterator>
 #include <span>
@@ -39,7 +44,7 @@
 FaultPage* map_page() {
   const char* path = std::getenv(kPageVariable);
   if (path == nullptr) return nullptr;
-  const int fd = ::open(path, O_RDWR | O_CLOEXEC);
+  const int fd = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path, O_RDWR | O_CLOEXEC));
   if (fd < 0) return nullptr;
   void* at = ::mmap(nullptr, sizeof(FaultPage), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
   ::close(fd);
@@ -101,6 +106,8 @@
   return 1 + next_random() % (size - 1);
 }
 
+constexpr int kDescriptorErrors[] = {EMFILE, ENFILE, ENOMEM};
+
 // Descriptors that this process connected itself. A stream that a client began is not broken here: what
 // became of its requests then could not be told from a request that the program lost.
 constexpr std::size_t kDescriptors = 4096;
@@ -197,4 +204,57 @@
   return static_cast<int>(::syscall(SYS_socket, domain, type, protocol));
 }
 
+int bind(int fd, const sockaddr* at, socklen_t size) noexcept {
+  constexpr int kErrors[] = {ENOMEM, ENOBUFS};
+  if (orchidgw::faults::strikes(CallFault::kBindFails)) return orchidgw::faults::fail_with_one_of(kErrors);
+  return static_cast<int>(::syscall(SYS_bind, fd, at, size));
+}
+
+int listen(int fd, int backlog) noexcept {
+  constexpr int kErrors[] = {ENOMEM, ENOBUFS};
+  if (orchidgw::faults::strikes(CallFault::kListenFails)) return orchidgw::faults::fail_with_one_of(kErrors);
+  return static_cast<int>(::syscall(SYS_listen, fd, backlog));
+}
+
+int epoll_create(int) noexcept {
+  if (orchidgw::faults::strikes(CallFault::kEpollFails))
+    return orchidgw::faults::fail_with_one_of(orchidgw::faults::kDescriptorErrors);
+  return static_cast<int>(::syscall(SYS_epoll_create1, 0));
+}
+
+int eventfd(unsigned count, int flags) noexcept {
+  if (orchidgw::faults::strikes(CallFault::kEventDescriptorFails))
+    return orchidgw::faults::fail_with_one_of(orchidgw::faults::kDescriptorErrors);
+  return static_cast<int>(::syscall(SYS_eventfd2, count, flags));
+}
+
+int timerfd_create(clockid_t clock, int flags) noexcept {
+  if (orchidgw::faults::strikes(CallFault::kTimerDescriptorFails))
+    return orchidgw::faults::fail_with_one_of(orchidgw::faults::kDescriptorErrors);
+  return static_cast<int>(::syscall(SYS_timerfd_create, clock, flags));
+}
+
+int signalfd(int fd, const sigset_t* signals, int flags) noexcept {
+  constexpr std::size_t kKernelSetBytes = 8;
+  if (orchidgw::faults::strikes(CallFault::kSignalDescriptorFails))
+    return orchidgw::faults::fail_with_one_of(orchidgw::faults::kDescriptorErrors);
+  return static_cast<int>(::syscall(SYS_signalfd4, fd, signals, kKernelSetBytes, flags));
+}
+
+int open(const char* path, int flags, ...) {
+  va_list more;
+  va_start(more, flags);
+  const unsigned mode = (flags & O_CREAT) != 0 ? va_arg(more, unsigned) : 0U;
+  va_end(more);
+  if (orchidgw::faults::strikes(CallFault::kOpenFails))
+    return orchidgw::faults::fail_with_one_of(orchidgw::faults::kDescriptorErrors);
+  return static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path, flags, mode));
+}
+
+int flock(int fd, int operation) noexcept {
+  constexpr int kErrors[] = {EWOULDBLOCK, ENOLCK};
+  if (orchidgw::faults::strikes(CallFault::kLockFails)) return orchidgw::faults::fail_with_one_of(kErrors);
+  return static_cast<int>(::syscall(SYS_flock, fd, operation));
+}
+
 }  // extern "C"
--- a/tests/integration/front_door_test.cpp
+++ b/tests/integration/front_door_test.cpp
@@ -79,7 +79,7 @@
   }
 
   void open(std::size_t clients) {
-    const int listener = net::listen_at({"127.0.0.1", 0});
+    const int listener = net::listen_at({"127.0.0.1", 0}).release();
     ASSERT_GE(listener, 0);
     sockaddr_in at{};
     socklen_t size = sizeof at;
