--- /dev/null
+++ b/tests/integration/front_door_fixture.h
@@ -0,0 +1,194 @@
+// The front door in this process, its loop turned by the test, and frames as clients write them.
+#pragma once
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "net/clock.h"
+#include "net/front_door.h"
+#include "net/sockets.h"
+
+namespace orchidgw::integration {
+
+// A frame of the front, as libthrift writes it.
+template <typename Write>
+std::string frame(Write write) {
+  using namespace apache::thrift::transport;
+  const auto memory = std::make_shared<TMemoryBuffer>();
+  const auto framed = std::make_shared<TFramedTransport>(memory);
+  apache::thrift::protocol::TBinaryProtocol protocol(framed);
+  write(protocol);
+  framed->flush();
+  return memory->getBufferAsString();
+}
+
+inline std::string ping(std::int32_t sequence) {
+  using namespace apache::thrift::protocol;
+  return frame([&](TBinaryProtocol& out) {
+    out.writeMessageBegin("ping", T_CALL, sequence);
+    out.writeFieldBegin("unused", T_BOOL, 1);
+    out.writeBool(true);
+    out.writeFieldStop();
+  });
+}
+
+// Not usable, which is for the reducer to say: here it only has to arrive.
+inline std::string invoke(std::int32_t sequence) {
+  using namespace apache::thrift::protocol;
+  return frame([&](TBinaryProtocol& out) {
+    out.writeMessageBegin("invoke", T_CALL, sequence);
+    out.writeFieldStop();
+  });
+}
+
+inline std::string abort(std::int32_t aborted) {
+  using namespace apache::thrift::protocol;
+  return frame([&](TBinaryProtocol& out) {
+    out.writeMessageBegin("abort", T_ONEWAY, 100'000 + aborted);
+    out.writeFieldBegin("seqid", T_I32, 1);
+    out.writeI32(aborted);
+    out.writeFieldStop();
+  });
+}
+
+class FrontDoorTest : public ::testing::Test {
+ protected:
+  static Settings settings() {
+    Settings s;
+    ClassSettings c;
+    c.name = "lookup";
+    c.deadline = 1'000'000;
+    s.classes = {c};
+    return s;
+  }
+
+  void open(std::size_t clients) {
+    const int listener = net::listen_at({"127.0.0.1", 0}).release();
+    ASSERT_GE(listener, 0);
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    ASSERT_EQ(getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size), 0);
+    address = Poco::Net::SocketAddress("127.0.0.1", ntohs(at.sin_port));
+    door = std::make_unique<net::FrontDoor>(context, listener, net::FrontLimits{clients, 1'000'000}, reducer);
+  }
+
+  Poco::Net::StreamSocket connect() {
+    Poco::Net::StreamSocket socket(address);
+    socket.setReceiveTimeout(Poco::Timespan(20, 0));
+    return socket;
+  }
+
+  static void write(Poco::Net::StreamSocket& socket, const std::string& bytes) {
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+
+  // Bytes, 0 at the end, -1 for a reset.
+  static int read(Poco::Net::StreamSocket& socket) {
+    char into[4096];
+    try {
+      return socket.receiveBytes(into, sizeof into);
+    } catch (const Poco::Net::ConnectionResetException&) {
+      return -1;
+    }
+  }
+
+  // One that was accepted and has been answered.
+  Poco::Net::StreamSocket client() {
+    const auto before = counters.client_bytes_out;
+    Poco::Net::StreamSocket socket = connect();
+    write(socket, ping(1));
+    const bool answered = run_until([&] { return counters.client_bytes_out > before; });
+    EXPECT_GT(answered ? read(socket) : 0, 0);
+    return socket;
+  }
+
+  // Turns the loop until the condition holds; false after a long time. POCO's loop can't be run again once it
+  // has ended: it has a thread of its own, which stands still inside a turn whenever the test goes on.
+  bool run_until(std::function<bool()> done) {
+    std::unique_lock lock(mutex);
+    const auto last = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    bool in_time = false;
+    condition = [&] {
+      in_time = done();
+      return in_time || std::chrono::steady_clock::now() > last;
+    };
+    if (!loop.joinable()) loop = std::thread([this] { reactor.run(); });
+    running = true;
+    changed.notify_all();
+    changed.wait(lock, [this] { return !running; });
+    EXPECT_TRUE(in_time);
+    return in_time;
+  }
+
+  // Of the loop's thread.
+  TimeUs turn() {
+    std::unique_lock lock(mutex);
+    context.closed.clear();
+    if (door) door->between_turns(net::monotonic_now());
+    if (condition && condition()) {
+      running = false;
+      changed.notify_all();
+      changed.wait(lock, [this] { return running || over; });
+    }
+    if (over) reactor.stop();
+    return 1000;
+  }
+
+  ~FrontDoorTest() override {
+    {
+      const std::lock_guard lock(mutex);
+      over = true;
+      running = true;
+      changed.notify_all();
+    }
+    if (loop.joinable()) loop.join();
+  }
+
+  template <typename E>
+  std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        events.begin(), events.end(), [](const core::Event& e) { return std::holds_alternative<E>(e); }));
+  }
+
+  std::uint64_t ends(core::ConnectionEnd end) const {
+    return counters.client_ends[static_cast<std::size_t>(end)];
+  }
+
+  static constexpr TimeUs kSecond = 1'000'000;
+  std::mutex mutex;  // held by whoever acts: the test, or the loop in its turn
+  std::condition_variable changed;
+  std::function<bool()> condition;
+  bool running = false;
+  bool over = false;
+  std::thread loop;
+  bool crowded = false;
+  metrics::Counters counters;
+  net::BufferPool pool{100, counters};
+  net::Reactor reactor{[this] { return turn(); }};
+  log::Logger log{std::cerr, log::Level::kError, "test"};
+  std::vector<core::Event> events;
+  net::Context context{reactor,
+                       pool,
+                       counters,
+                       log,
+                       [this](core::Event e) { events.push_back(std::move(e)); },
+                       [this] { return crowded; },
+                       [](core::CallId) { return Denial::kNone; },
+                       {}};
+  core::Reducer reducer{settings(), 1, counters};
+  Poco::Net::SocketAddress address;
+  std::unique_ptr<net::FrontDoor> door;
+};
+
+}  // namespace orchidgw::integration
