--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -192,6 +192,7 @@
   void set_final_answer_timer(QueryId id, TimeUs due);
   Denial start_denied(const QueryState& query, std::size_t n, TimeUs now) const;
   bool may_refuse(const QueryState& query) const;
+  static EarlierAttempt as_earlier(const AttemptState& attempt);
   void note_violation(Denial denial, const QueryState& query);
   void call(QueryId id, std::size_t n, CallKind kind);
   std::optional<CallOwner> release(CallId call);
