A reload whose file can't be opened for a moment is read again

What operators would have seen: SIGHUP while the process lacks a descriptor left the old configuration in force for good, and with it the address of a change log that had moved. Change: where the table of errors says that it may pass, the files are read again each 0.2 s; a wrong file is turned away at once as before. Result: Reload.AFileThatCanNotBeOpenedForAMomentIsReadAgain passes; it was not run on the code before.

--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "admin/admin_command.h"
+#include "base/system_call.h"
 #include "net/clock.h"
 
 namespace orchidgw::net {
@@ -21,6 +22,7 @@
 constexpr std::size_t kClientsPart = 3;       // of the descriptors: clients hold a third at the most
 constexpr std::size_t kDescriptorsKept = 32;  // listener, change log, signals, poll, standard ones
 constexpr TimeUs kWaitMost = 1'000'000;
+constexpr TimeUs kReloadAgainAfter = 200'000;
 constexpr TimeUs kAcceptEvery = 10'000;
 constexpr TimeUs kAcceptedBy = 2'000'000;  // who waits in the system's line till then for a place is given up
 
@@ -131,6 +133,7 @@
     if (admin_) admin_->check(now);
     if (fleet_) fleet_->check(monotonic_now());
     if (intents_) intents_->check();
+    if (reload_again_at_ && now >= *reload_again_at_) reload();
     act(now);
     front_door_.between_turns(now);
     stop_if_done(now);
@@ -315,6 +318,7 @@
   if (!events_.empty()) return 0;
   TimeUs due = std::min(now + kWaitMost, change_log_.next_due());
   if (!front_door_.empty()) due = std::min(due, front_door_.next_sweep());
+  if (reload_again_at_) due = std::min(due, *reload_again_at_);
   if (shutdown_) due = std::min(due, next_of_shutdown(now));
   if (const auto timer = reducer_.next_due()) due = std::min(due, *timer);
   if (const auto call = engines_.next_due()) due = std::min(due, *call);
@@ -385,8 +389,15 @@
 // both old ones stay.
 void Controller::reload() {
   ++counters_.reloads;
+  reload_again_at_.reset();
   try {
     put_in_force(reload_(settings_));
+  } catch (const SystemCallError& e) {
+    ++counters_.reloads_failed;
+    log_.write(log::Level::kError, log::Component::kConfig,
+               std::string("configuration not taken over: ") + e.what());
+    // Guards against a change log that has moved and is never followed: the files are good.
+    if (e.may_pass()) reload_again_at_ = monotonic_now() + kReloadAgainAfter;
   } catch (const configuration::ConfigurationError& e) {
     ++counters_.reloads_failed;
     for (const std::string& line : e.lines())
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -106,6 +106,8 @@
   std::unique_ptr<FleetMember> fleet_;  // null: alone
   std::unique_ptr<Intents> intents_;    // null: none are kept
   WallClockWatch wall_clock_;
+  std::optional<TimeUs>
+      reload_again_at_;  // a file could not be read for want of something that may come back
   TimeUs created_at_;
   std::optional<ShutdownSchedule> shutdown_;  // once it was asked for
   bool listening_ = true;
--- a/tests/soak/start_test.cpp
+++ b/tests/soak/start_test.cpp
@@ -141,5 +141,19 @@
                                            CallFault::kLockFails),
                          [](const auto& tested) { return name_of(tested.param); });
 
+// Guards against a configuration that is not taken over for good, as its file could not be opened for a
+// moment.
+TEST(Reload, AFileThatCanNotBeOpenedForAMomentIsReadAgain) {
+  faults::FaultSwitch faults;
+  ControllerOptions options;
+  options.environment = faults.environment();
+  ControllerProcess controller(options);
+  faults.set_rate(CallFault::kOpenFails, kEachCall);
+  controller.signal(SIGHUP);
+  ASSERT_TRUE(controller.wait_for_line("configuration not taken over: "));
+  faults.clear_rates();
+  EXPECT_TRUE(controller.wait_for_line("configuration read anew"));
+}
+
 }  // namespace
 }  // namespace orchidgw::soak
