--- /dev/null
+++ b/tests/reducer/unsent_attempts_test.cpp
@@ -0,0 +1,35 @@
+// Attempts whose connection never came up: not a byte of them was sent, so nothing of them may count against
+// the request (issue 46, A 5).
+#include <algorithm>
+
+#include "reducer_fixture.h"
+
+namespace orchidgw::core {
+namespace {
+
+class UnsentAttempts : public ReducerTest {
+ protected:
+  std::size_t starts() const {
+    return static_cast<std::size_t>(std::count_if(
+        calls.begin(), calls.end(), [](const StartCall& call) { return call.kind == CallKind::kStart; }));
+  }
+};
+
+// With three attempts allowed, three connects fail at once (ENETUNREACH), each at another engine; the fourth
+// engine is good. What is seen: the request fails after the third. The count of attempts in `start_denied`
+// and `Reducer::send` takes those that were never sent for attempts.
+TEST_F(UnsentAttempts, AConnectThatFailsUsesUpNoAttempt) {
+  begin(4);
+  request(1);
+  for (std::size_t failed = 1; failed <= 3; ++failed) {
+    ASSERT_EQ(starts(), failed);
+    broke(last().call, ConnectionEnd::kUnreachable);
+    run_until(now + 10 * kMs);
+  }
+  run_until(now + 500 * kMs);
+  EXPECT_TRUE(answers.empty()) << answers[1].front();
+  EXPECT_EQ(starts(), 4U);
+}
+
+}  // namespace
+}  // namespace orchidgw::core
