Fleet tests: a relay reads its fault after accept, so a new connection meets it

Cause: the relay read its fault, then waited in poll for up to 5 ms and accepted with what it had read.

The fault is read after accept now: a connection made after set() was accepted after it, so the fault read is at least as new. The test is unchanged.

--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -89,6 +89,27 @@
   if (way.ended && way.waiting.empty()) pair.dead = true;  // an end passes once all before it has
 }
 
+std::vector<int> accept_all(int listener) {
+  std::vector<int> accepted;
+  int fd = -1;
+  while ((fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0)
+    accepted.push_back(fd);
+  return accepted;
+}
+
+void connect_through(int fd, const std::string& target, std::list<Pair>& pairs) {
+  const int out = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in at = address_at(target);
+  if (::connect(out, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+    reset(out);
+    reset(fd);
+    return;
+  }
+  Pair& pair = pairs.emplace_back();
+  pair.forward.from = pair.back.to = fd;
+  pair.forward.to = pair.back.from = out;
+}
+
 }  // namespace
 
 Relay::Relay(std::string target) : target_(std::move(target)) {
@@ -112,29 +133,22 @@
   constexpr int kSliceMs = 5;  // a fault is looked at so often
   std::list<Pair> pairs;
   while (!stop_) {
-    const Fault fault = fault_;
+    const Fault before = fault_;
     std::vector<pollfd> polled = {{listener_, POLLIN, 0}};
     for (const Pair& pair : pairs) {
-      if (!holds(fault, true)) polled.push_back({pair.forward.from, POLLIN, 0});
-      if (!holds(fault, false)) polled.push_back({pair.back.from, POLLIN, 0});
+      if (!holds(before, true)) polled.push_back({pair.forward.from, POLLIN, 0});
+      if (!holds(before, false)) polled.push_back({pair.back.from, POLLIN, 0});
     }
     ::poll(polled.data(), polled.size(), kSliceMs);
-    int fd = -1;
-    while ((fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
+    const std::vector<int> accepted = accept_all(listener_);
+    // Read after accept: a connection begun once a fault is set always meets it, whenever the poll began.
+    const Fault fault = fault_;
+    for (const int fd : accepted) {
       if (fault == Fault::kCut) {
         reset(fd);
-        continue;
-      }
-      const int out = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      const sockaddr_in at = address_at(target_);
-      if (::connect(out, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
-        reset(out);
-        reset(fd);
-        continue;
+      } else {
+        connect_through(fd, target_, pairs);
       }
-      Pair& pair = pairs.emplace_back();
-      pair.forward.from = pair.back.to = fd;
-      pair.forward.to = pair.back.from = out;
     }
     for (Pair& pair : pairs) {
       for (const bool forward : {true, false}) {
