A paused client's abort is heard behind any number of its calls

Cause: one bound served two ends. It kept memory small by not reading, which hid the abort.

While a request that was read is open the client is read on; calls beyond the bound are refused at once by the reducer (`queries.refused.backlog`) and never started, so nothing piles up but 64 KB of refusals at most. With nothing taken on, nothing can be given up, and the bound holds as before (AClientThatLeavesBehindUnreadBytesIsSeen). Held calls are acted on only after what lay unread was read: an abort of one of them takes it back.

Open: a client that leaves over 576 KB of answers unread is not read.

--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -21,13 +21,14 @@
   kShed,         // a reduced service level sheds it
   kNoIntent,     // it must not run twice, and no intent of it can be kept
   kShutDown,     // the gateway shuts down before it could be answered
+  kBacklog,      // its client is not served for the moment, and as many of its calls wait as may
 };
-inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kShutDown) + 1;
+inline constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kBacklog) + 1;
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasons> kNames = {
-      "none",     "decision", "rate",         "concurrency", "line_full", "closed",   "held_too_long",
-      "attempts", "outcome",  "retry_budget", "shed",        "no_intent", "shut_down"};
+      "none",     "decision", "rate",         "concurrency", "line_full", "closed",    "held_too_long",
+      "attempts", "outcome",  "retry_budget", "shed",        "no_intent", "shut_down", "backlog"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/reason.h"
 #include "core/connection_end.h"
 #include "core/engine_listing.h"
 #include "core/payload.h"
@@ -46,7 +47,7 @@
   RequestTag tag = 0;
   std::optional<ClientRequest> request;  // none: it can't be used
   std::string why;                       // then: what is wrong with it
-  bool connection_drains = false;        // it closes behind the answers that are owed: no new query
+  Reason refuse_as = Reason::kNone;      // its connection takes no new query: it is refused at once
 };
 
 struct RequestAborted {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -135,8 +135,8 @@
   if (keys_ && !may_be_taken_on(id)) return;
   // Guards against a request that a shutdown leaves unanswered: it has the time until then, or is refused.
   query.request.time_budget = std::min(query.request.time_budget, answer_by_ - now_);
-  if (event.connection_drains || query.request.time_budget <= 0)
-    return turn_away(id, Reason::kShutDown, longest_advice());
+  if (query.request.time_budget <= 0) return turn_away(id, Reason::kShutDown, longest_advice());
+  if (event.refuse_as != Reason::kNone) return turn_away(id, event.refuse_as, longest_advice());
   const ClientRequest& r = query.request;
   if (levels_.on()) {
     levels_.meters()->taken(now_, r.class_name, r.tenant);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -22,8 +22,9 @@
 constexpr TimeUs kSettled = 100'000;        // so long without a byte: none is on the way
 constexpr int kUnusableMost = 8;            // requests of one connection that break the protocol's rules
 constexpr TimeUs kUsPerMs = 1000;
-constexpr std::size_t kHeldMost = 32;                  // calls of one that is paused
-constexpr std::size_t kHeldBytesMost = 16UL * 1024;    // then nothing more is read
+constexpr std::size_t kHeldMost = 32;  // calls of one that is paused
+constexpr std::size_t kHeldBytesMost = 16UL * 1024;
+constexpr std::size_t kRefusalsMost = 64UL * 1024;     // bytes unsent beside kUnsentMost
 constexpr std::size_t kThrownAwayMost = 256UL * 1024;  // of a connection that lingers
 
 std::size_t held_size(const thrift::FrontCall& call) {
@@ -74,7 +75,7 @@
 void ClientConnection::read_what_lies_there() {
   for (int i = 0; i < kReadsAtOnce; ++i) {
     if (context_.crowded() || is_full()) pause();
-    if (paused_ && !may_hold_more()) return channel_.want_read(false);
+    if (!reads_on()) return channel_.want_read(false);
     BufferChain in(context_.pool);
     const std::span<char> room = in.room();
     const Moved moved = read_some(channel_.fd(), room);
@@ -106,26 +107,28 @@
     if (result == thrift::FrameReader::Result::kMore) return true;
     auto call = thrift::read_call(frames_.frame());
     spoke_ = true;
-    if (!call || !take_call(std::move(*call))) return false;
+    if (!call) return false;
+    take_call(std::move(*call));
     if (!is_open() || closing_as_) return true;
   }
   return true;
 }
 
 // Guards against attempts for a request that its client gave up while nothing of it was read: while a client
-// is paused its calls wait here, within bounds, and its aborts go through.
-bool ClientConnection::take_call(thrift::FrontCall call) {
-  if (call.kind == thrift::FrontCall::Kind::kAbort) {
-    if (!forget_held(call.aborted)) {
-      answered(call.aborted);  // nothing is owed any more
-      context_.post(core::RequestAborted{id_, call.aborted});
-    }
-    return true;
-  }
-  if (!paused_) return act_on(call);
+// is paused its calls wait here, within bounds, and its aborts go through. A call beyond the bounds is
+// refused at once: unread, it would hide an abort behind it.
+void ClientConnection::take_call(thrift::FrontCall call) {
+  if (call.kind == thrift::FrontCall::Kind::kAbort) return take_abort(call.aborted);
+  if (!paused_) return act_on(call, Reason::kNone);
+  if (!may_hold_more() && listens_for_aborts()) return act_on(call, Reason::kBacklog);
   held_bytes_ += held_size(call);
   held_.push_back(std::move(call));
-  return true;
+}
+
+void ClientConnection::take_abort(std::int32_t sequence) {
+  if (forget_held(sequence)) return;
+  answered(sequence);  // nothing is owed any more
+  context_.post(core::RequestAborted{id_, sequence});
 }
 
 bool ClientConnection::forget_held(std::int32_t sequence) {
@@ -142,20 +145,25 @@
   return held_bytes_ < kHeldBytesMost && held_.size() < kHeldMost && totals_.held < totals_.most / 2;
 }
 
-bool ClientConnection::act_on(const thrift::FrontCall& call) {
+// Something that was read can still be given up, and its client reads its answers.
+bool ClientConnection::listens_for_aborts() const {
+  return (catching_up_ || !owed_.empty()) && out_.size() < kUnsentMost + kRefusalsMost;
+}
+
+void ClientConnection::act_on(const thrift::FrontCall& call, Reason refuse_as) {
   using Kind = thrift::FrontCall::Kind;
-  if (!call.wants_answer) return true;  // an answer to a oneway message would not be understood
+  if (!call.wants_answer) return;  // an answer to a oneway message would not be understood
   if (call.kind == Kind::kPing) {
     send(thrift::pong(call.sequence, ready_()));
   } else if (call.kind == Kind::kInvoke) {
     owed_.insert(call.sequence);
-    context_.post(core::RequestArrived{id_, call.sequence, call.request, call.why, draining_});
+    context_.post(core::RequestArrived{id_, call.sequence, call.request, call.why,
+                                       draining_ ? Reason::kShutDown : refuse_as});
   } else {
     const auto error = thrift::ApplicationError::kUnknownMethod;
     send(thrift::application_exception(call.name, call.sequence, error, "unknown method"));
     count_unusable();
   }
-  return true;
 }
 
 void ClientConnection::answered(std::int32_t sequence) {
@@ -255,20 +263,34 @@
 }
 
 void ClientConnection::read_on() {
-  if (!is_open() || context_.crowded() || is_full()) return;
+  if (!is_open() || catching_up_ || context_.crowded() || is_full()) return;
+  catch_up();
+  if (!is_open()) return;
   if (!closing_as_ && std::exchange(paused_, false)) --totals_.paused;
   while (!held_.empty() && (!paused_ || closing_as_)) {
-    const thrift::FrontCall call = std::move(held_.front());
-    held_.pop_front();
-    held_bytes_ -= held_size(call);
-    if (!act_on(call)) return close_when_answered(ConnectionEnd::kUnreadable);
+    act_on(take_held(), Reason::kNone);
     if (!is_open()) return;
     if (context_.crowded() || is_full()) pause();
     if (closing_as_ && (context_.crowded() || is_full())) return;
   }
   if (closing_as_) return close_if_answered();
   count_frame_bytes();
-  channel_.want_read(!paused_ || may_hold_more());
+  channel_.want_read(reads_on());
+}
+
+thrift::FrontCall ClientConnection::take_held() {
+  thrift::FrontCall call = std::move(held_.front());
+  held_.pop_front();
+  held_bytes_ -= held_size(call);
+  return call;
+}
+
+// Guards against attempts for a call that was held while its abort lay behind what was not read.
+void ClientConnection::catch_up() {
+  if (held_.empty() || closing_as_ || reads_on()) return;
+  catching_up_ = true;
+  read_what_lies_there();
+  catching_up_ = false;
 }
 
 // Guards against clients that hold a descriptor for nothing: silent newcomers, frames that never end (a byte
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -70,11 +70,16 @@
   bool closes_behind_answers() const { return closing_as_ || draining_; }
   void read_what_lies_there();
   void throw_away();
+  void catch_up();
   bool take_frames(std::string_view bytes);
-  bool take_call(thrift::FrontCall call);
-  bool act_on(const thrift::FrontCall& call);
+  void take_call(thrift::FrontCall call);
+  void take_abort(std::int32_t sequence);
+  void act_on(const thrift::FrontCall& call, Reason refuse_as);
+  thrift::FrontCall take_held();
   bool forget_held(std::int32_t sequence);
   bool may_hold_more() const;
+  bool listens_for_aborts() const;
+  bool reads_on() const { return !paused_ || may_hold_more() || listens_for_aborts(); }
   bool count_frame_bytes();
   void count_unusable();
   void send(std::string_view bytes);
@@ -89,7 +94,8 @@
   std::function<bool()> ready_;
   std::function<void(core::ClientId, core::ConnectionEnd)> closed_;
   thrift::FrameReader frames_;
-  // Of one that is paused: what it asked since, in its order. Aborts do not wait here.
+  // Of one that is paused: what it asked since, in its order. Aborts do not wait here, and what comes when no
+  // more may be held is refused.
   std::deque<thrift::FrontCall> held_;
   std::size_t held_bytes_ = 0;
   BufferChain out_;
@@ -99,10 +105,11 @@
   int unusable_ = 0;                               // requests that could not be taken
   std::multiset<std::int32_t> owed_;               // by their sequence numbers
   std::optional<core::ConnectionEnd> closing_as_;  // once nothing is owed
-  bool draining_ =
-      false;  // in a shutdown: what still comes is refused, and it is closed once nothing is owed
+  // In a shutdown: what still comes is refused, and it is closed once nothing is owed.
+  bool draining_ = false;
   bool spoke_ = false;
   bool paused_ = false;
+  bool catching_up_ = false;     // reads what waited while it was paused
   bool lingering_ = false;       // closed for its owner; what still comes is thrown away
   std::size_t thrown_away_ = 0;  // bytes
 };
--- a/tests/reducer/shutdown_test.cpp
+++ b/tests/reducer/shutdown_test.cpp
@@ -71,7 +71,7 @@
 TEST_F(ShutdownReducer, ARequestAfterItsEndOrOnADrainingConnectionIsRefusedAndNotStarted) {
   begin(1);
   shut_down_in(kSecond);
-  apply(RequestArrived{kClient, 1, usable(1), "", true});
+  apply(RequestArrived{kClient, 1, usable(1), "", Reason::kShutDown});
   run_until(now + kSecond);
   request(2, "once");
   EXPECT_TRUE(calls.empty());
