A client is not closed over an open request because memory is short

Cause: `FrontDoor::shed_unread` chose by unsent bytes alone, without asking what was owed.

A client is closed only once nothing is owed to it. Its calls that are held would never be answered while memory is short, so these are refused first; what is open has a deadline, and nothing new is taken on meanwhile, which bounds what memory takes.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -285,6 +285,11 @@
   return call;
 }
 
+void ClientConnection::refuse_held() {
+  while (is_open() && !held_.empty()) act_on(take_held(), Reason::kBacklog);
+  if (is_open()) count_frame_bytes();
+}
+
 // Guards against attempts for a call that was held while its abort lay behind what was not read.
 void ClientConnection::catch_up() {
   if (held_.empty() || closing_as_ || reads_on()) return;
@@ -306,7 +311,9 @@
     return;
   }
   if (frames_.inside() && !paused_ && late) return close_when_answered(ConnectionEnd::kSilent);
-  if (!out_.empty() && now - moved_at_ > kUnreadFor) close(ConnectionEnd::kSilent);
+  if (out_.empty() || now - moved_at_ <= kUnreadFor) return;
+  refuse_held();
+  if (is_open() && owed() == 0) close(ConnectionEnd::kSilent);
 }
 
 void ClientConnection::shut_down(TimeUs now, bool force) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -39,6 +39,8 @@
   void sweep(TimeUs now, bool has_open_requests);  // closes what has stalled
   void read_on();                                  // buffers are free again
   bool paused() const { return paused_; }
+  // Its held calls are answered without being served: it reads nothing, or memory is short.
+  void refuse_held();
   void look_if_gone();  // of one that is paused: its close may not be read
   // Reads what lies there; true if that is nothing. False of one that is paused: what it said is not known.
   bool still_quiet();
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -97,19 +97,31 @@
 }
 
 // Guards against clients that ask for much and read nothing: answers that they leave lying may take all
-// memory.
+// memory. A client with a request open is spared until that has its answer, by its deadline at the latest: a
+// close would leave the request without one. What memory takes meanwhile is bounded by the open requests, as
+// nothing new is taken on while it is short.
 void FrontDoor::shed_unread() {
+  if (!context_.pool.overdrawn()) return;
+  const auto all = clients_;  // some close themselves meanwhile
+  for (const auto& [id, client] : all)
+    if (client->unsent() > 0) client->refuse_held();
   while (context_.pool.overdrawn()) {
-    const auto most = std::max_element(clients_.begin(), clients_.end(), [](const auto& a, const auto& b) {
-      return a.second->unsent() < b.second->unsent();
-    });
-    if (most == clients_.end() || most->second->unsent() == 0) return;
+    const std::shared_ptr<ClientConnection> client = most_unread_of_those_answered();
+    if (!client) return;
     context_.log.write(log::Level::kWarn, "memory is short: a client that reads nothing is closed");
-    const std::shared_ptr<ClientConnection> client = most->second;
     client->close(core::ConnectionEnd::kSilent);
   }
 }
 
+std::shared_ptr<ClientConnection> FrontDoor::most_unread_of_those_answered() const {
+  std::shared_ptr<ClientConnection> most;
+  for (const auto& [id, client] : clients_) {
+    if (client->unsent() == 0 || client->owed() > 0) continue;
+    if (!most || client->unsent() > most->unsent()) most = client;
+  }
+  return most;
+}
+
 void FrontDoor::between_turns(TimeUs now) {
   shed_unread();
   end_lingering(now);
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -58,6 +58,7 @@
   void pause_accepting();
   void go_on_accepting();
   void shed_unread();
+  std::shared_ptr<ClientConnection> most_unread_of_those_answered() const;
   void sweep(TimeUs now);
   TimeUs sweep_every() const;
 
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -120,5 +120,40 @@
   EXPECT_EQ(count<core::RequestAborted>(), 0U);
 }
 
+// The client is closed all the same once it owes nobody anything, so memory comes back.
+TEST_F(FrontDoorMemory, AClientThatReadsNothingIsClosedOnceItsRequestsAreAnswered) {
+  open(4);
+  auto socket = client();
+  write(socket, invoke(2) + invoke(3));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 2; }));
+  answer_with_much(2);
+  ASSERT_TRUE(pool.overdrawn());
+  door->between_turns(net::monotonic_now());
+  EXPECT_EQ(ends(core::ConnectionEnd::kSilent), 0U);
+  answer_refused(3);
+  door->between_turns(net::monotonic_now());
+  EXPECT_EQ(ends(core::ConnectionEnd::kSilent), 1U);
+  EXPECT_FALSE(pool.overdrawn());
+}
+
+// Calls that are held would keep a client that reads nothing from being closed for ever: they are refused.
+TEST_F(FrontDoorMemory, HeldCallsOfAClientThatReadsNothingAreRefusedWhenMemoryIsShort) {
+  open(4);
+  auto socket = client();
+  write(socket, invoke(2));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 1; }));
+  crowded = true;
+  write(socket, invoke(3));
+  ASSERT_TRUE(some_turns());
+  answer_with_much(2);
+  door->between_turns(net::monotonic_now());
+  ASSERT_EQ(arrivals().size(), 2U);
+  EXPECT_EQ(arrivals().back()->refuse_as, Reason::kBacklog);
+  answer_refused(3);
+  door->between_turns(net::monotonic_now());
+  EXPECT_EQ(ends(core::ConnectionEnd::kSilent), 1U);
+  EXPECT_EQ(counters.violations[static_cast<std::size_t>(Denial::kAnswerOwed)], 0U);
+}
+
 }  // namespace
 }  // namespace orchidgw::integration
