An attempt whose connect failed does not count against the most attempts

Cause: reducer, permission and module took the length of the list of attempts for their number.

`attempts_left` in decision/permission counts those sent, or still out; those never sent are bounded apart, by four times as many, against a query that goes round among engines that are all down. Both sides ask it, so the module never chooses what the reducer turns away.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -326,10 +326,8 @@
   a.sent_at = now_;
   a.stop_at = stop_at <= 0 ? query->deadline : std::min(stop_at, query->deadline);
   const auto it = engines_.find(engine);
-  const bool moot = query->ended || static_cast<int>(n) >= settings_.limits.max_attempts;
-  if (moot || it == engines_.end()) {
-    return conclude(id, n, moot ? OutcomeKind::kMoot : OutcomeKind::kConnectFailed);
-  }
+  if (query->ended) return conclude(id, n, OutcomeKind::kMoot);
+  if (it == engines_.end()) return conclude(id, n, OutcomeKind::kConnectFailed);
   a.zone = it->second.entry.zone;
   a.cell = it->second.entry.cell;
   if (const Denial denial = start_denied(*query, n, now_); denial != Denial::kNone) {
@@ -348,7 +346,7 @@
 
 EarlierAttempt Reducer::as_earlier(const AttemptState& attempt) {
   const bool out = attempt.phase != Phase::kOver;
-  return {attempt.sent_at, out, out || attempt.ran, attempt.zone, attempt.cell};
+  return {attempt.sent_at, out, out || attempt.ran, attempt.zone, attempt.cell, attempt.unsent};
 }
 
 // Of the attempt number `n`, with all others of its query taken for earlier ones.
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -91,7 +91,8 @@
     std::optional<TimeUs> told_cost;
     std::optional<double> told_memory_mb;
     OutcomeKind given_up_as = OutcomeKind::kCancelled;
-    bool ran = true;  // once it is over: whether it may have
+    bool ran = true;      // once it is over: whether it may have
+    bool unsent = false;  // its connection never came up
   };
 
   struct QueryState {
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -62,6 +62,7 @@
   bool retry_after = false;
   TimeUs max_retry_after = 0;
   int max_attempts = 1;
+  bool unsent_attempts_count = false;  // the simulator's wire counts each send; engines see none of these
 };
 
 struct Rules {
--- a/src/decision/permission.cpp
+++ b/src/decision/permission.cpp
@@ -7,12 +7,20 @@
 
 // Engines are told whole milliseconds: with less left they would be told more than there is.
 constexpr TimeUs kLeastTimeLeft = 1000;
+// Connects that fail are bounded too: guards against a query that goes round among engines that are all down.
+constexpr int kUnsentPerAttempt = 4;
 
 bool refused_safely(const ClassSettings& query_class) {
   if (query_class.effect == Effect::kIdempotent) return true;
   return query_class.effect == Effect::kDeduplicated && query_class.repeat_scope == RepeatScope::kAll;
 }
 
+AttemptCounts counts_of(std::span<const EarlierAttempt> attempts) {
+  AttemptCounts made;
+  for (const EarlierAttempt& attempt : attempts) ++(attempt.unsent ? made.unsent : made.sent);
+  return made;
+}
+
 }  // namespace
 
 const char* name_of(Denial denial) {
@@ -22,6 +30,10 @@
   return kNames[static_cast<std::size_t>(denial)];
 }
 
+bool attempts_left(const Limits& limits, AttemptCounts made) {
+  return counted(limits, made) < limits.max_attempts && made.unsent < kUnsentPerAttempt * limits.max_attempts;
+}
+
 Denial repeat_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, const EngineEntry& to,
                      TimeUs now) {
   if (!earlier.may_have_run || query_class.effect == Effect::kIdempotent) return Denial::kNone;
@@ -41,7 +53,7 @@
   if (start.query_over) return Denial::kQueryOver;
   if (start.stop_at - now < kLeastTimeLeft) return Denial::kOutOfTime;
   if (start.to == nullptr || start.to->state != EngineState::kInService) return Denial::kEngineLeaving;
-  if (static_cast<int>(others.size()) >= start.limits.max_attempts) return Denial::kTooManyAttempts;
+  if (!attempts_left(start.limits, counts_of(others))) return Denial::kTooManyAttempts;
   for (const EarlierAttempt& other : others) {
     if (other.out && !start.limits.second_copies) return Denial::kAttemptOut;
     const Denial denial = repeat_denied(start.query_class, other, *start.to, now);
--- a/src/decision/permission.h
+++ b/src/decision/permission.h
@@ -38,8 +38,23 @@
   bool may_have_run = false;  // nothing proves that it did not
   std::string_view zone;      // of its engine, as is the cell
   int cell = 0;
+  bool unsent = false;  // its connection never came up: not a byte of it was sent
 };
 
+// The attempts that a query had.
+struct AttemptCounts {
+  int sent = 0;    // or still out
+  int unsent = 0;  // over, and never sent
+};
+
+// So many of them count against what is allowed.
+inline int counted(const Limits& limits, AttemptCounts made) {
+  return made.sent + (limits.unsent_attempts_count ? made.unsent : 0);
+}
+
+// Whether the settings allow one more.
+bool attempts_left(const Limits& limits, AttemptCounts made);
+
 // Whether another attempt may follow that one, at that engine.
 Denial repeat_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, const EngineEntry& to,
                      TimeUs now);
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -77,7 +77,8 @@
 };
 
 EarlierAttempt as_earlier(const Attempt& a) {
-  return {a.sent_at, a.open, a.open || !never_ran(a.outcome), a.to.zone, a.to.cell};
+  const bool unsent = !a.open && a.outcome == OutcomeKind::kConnectFailed;
+  return {a.sent_at, a.open, a.open || !never_ran(a.outcome), a.to.zone, a.to.cell, unsent};
 }
 
 struct Held {
@@ -95,6 +96,11 @@
   int in_flight() const {
     return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.open; }));
   }
+  AttemptCounts made() const {
+    AttemptCounts made;
+    for (const Attempt& a : attempts) ++(as_earlier(a).unsent ? made.unsent : made.sent);
+    return made;
+  }
 };
 
 struct Engine {
@@ -571,9 +577,9 @@
   bool may_send(const Held& h, const Engine& e, TimeUs now) {
     const ClassSettings& c = cls(h);
     if (h.ended || now >= h.deadline) return false;
-    const int sent = static_cast<int>(h.attempts.size());
-    if (sent >= s_.limits.max_attempts) return false;
-    if (h.q.limits && !h.q.limits->may_send(now, sent, h.in_flight())) return false;
+    const AttemptCounts made = h.made();
+    if (!attempts_left(s_.limits, made)) return false;
+    if (h.q.limits && !h.q.limits->may_send(now, counted(s_.limits, made), h.in_flight())) return false;
     return e.listed  // rule 3: from the moment a drain is told, well inside the grace
            && effect_allows(h, c, e, now) && placement_allows(c, e) && ration_allows(h, now) &&
            cold_allows(h, e, now);
@@ -670,14 +676,14 @@
   // After an outcome that did not end the query: try again where the rules allow it, else answer now.
   void next_step(TimeUs now, Held& h, ActionSink& sink) {
     if (h.waiting || h.in_flight() > 0) return;
-    const bool tries_left = static_cast<int>(h.attempts.size()) < s_.limits.max_attempts;
+    const AttemptCounts made = h.made();
+    const bool tries_left = attempts_left(s_.limits, made);
     const bool may_repeat = std::any_of(engines_.begin(), engines_.end(), [&](const auto& p) {
       return effect_allows(h, cls(h), p.second, now) && placement_allows(cls(h), p.second);
     });
     const QueryLimits* const own = h.q.limits.get();
     const TimeUs next = own ? std::max(own->next_send_at(), now) : now;
-    const bool may_follow =
-        !own || own->may_follow(now, h.attempts.back().outcome, static_cast<int>(h.attempts.size()));
+    const bool may_follow = !own || own->may_follow(now, h.attempts.back().outcome, counted(s_.limits, made));
     if (!tries_left || !may_repeat || !may_follow || next >= give_up_at(h)) return answer(now, h, sink);
     hold(h);
     sink.set_timer(give_up_at(h) - now, kTokenWake);
@@ -779,7 +785,7 @@
       for (const auto& [query, n] : e.out) {
         Held& h = queries_.at(query);
         Attempt& a = h.attempts[static_cast<size_t>(n)];
-        const int sent = static_cast<int>(h.attempts.size());
+        const int sent = counted(s_.limits, h.made());
         if (!h.ended && !h.waiting && h.q.limits && h.q.limits->copy_due(now, a.sent_at, sent)) hold(h);
         if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
         const bool notes = s_.progress_interval > 0;
--- a/src/sim/host.cpp
+++ b/src/sim/host.cpp
@@ -81,7 +81,8 @@
   instances_.erase(name);
   const auto seed = static_cast<std::uint64_t>(f.integer_or(2, "seed", 0));
   try {
-    const Settings settings = config::read_settings(f.object(3, "env"));
+    Settings settings = config::read_settings(f.object(3, "env"));
+    settings.limits.unsent_attempts_count = true;
     Instance instance;
     instance.module = make_workload_budget(settings, seed);
     instance.tells_cost = settings.tells_cost;
--- a/tests/reducer/unsent_attempts_test.cpp
+++ b/tests/reducer/unsent_attempts_test.cpp
@@ -31,5 +31,18 @@
   EXPECT_EQ(starts(), 4U);
 }
 
+TEST_F(UnsentAttempts, ConnectsThatFailAreBounded) {
+  constexpr std::size_t kMostOfThreeAttempts = 12;
+  begin(30);
+  request(1);
+  while (starts() < 30 && answers.empty()) {
+    broke(last().call, ConnectionEnd::kUnreachable);
+    run_until(now + kMs);
+  }
+  EXPECT_EQ(starts(), kMostOfThreeAttempts);
+  ASSERT_EQ(answers[1].size(), 1U);
+  EXPECT_EQ(answers[1].front().substr(0, 7), "refused");
+}
+
 }  // namespace
 }  // namespace orchidgw::core
--- a/tests/unit/permission_test.cpp
+++ b/tests/unit/permission_test.cpp
@@ -68,6 +68,18 @@
   EXPECT_EQ(denied({ran(kSecond), ran(kSecond), ran(kSecond)}), Denial::kTooManyAttempts);
 }
 
+TEST_F(Permission, AttemptsThatWereNeverSentCountOnlyWhereTheSettingsSaySo) {
+  load.effect = Effect::kIdempotent;
+  EarlierAttempt unsent = ran(kSecond);
+  unsent.may_have_run = false;
+  unsent.unsent = true;
+  EXPECT_EQ(denied({unsent, unsent, unsent}), Denial::kNone);
+  EXPECT_EQ(denied(std::vector<EarlierAttempt>(12, unsent)), Denial::kTooManyAttempts);
+  limits.unsent_attempts_count = true;
+  EXPECT_EQ(denied({unsent, unsent}), Denial::kNone);
+  EXPECT_EQ(denied({unsent, unsent, unsent}), Denial::kTooManyAttempts);
+}
+
 TEST_F(Permission, ARepeatKeepsToTheEnginesThatDropIt) {
   EarlierAttempt elsewhere = ran(kSecond);
   elsewhere.zone = "b";
