A further attempt that was never sent gives its place in the ration back

Where further attempts are rationed (rule 7), a connect that failed used one up: with an allowance of one, the second connect that failed was a request's last (test, seen failing: 2 starts instead of 3).

Rule 7 spares engines work, and such an attempt made none.

--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -215,6 +215,7 @@
     a.open = false;
     a.outcome = o.kind;
     settle(h, a, o);
+    if (o.attempt > 0) give_back_ration(a);
     judge(now, a, o);
     if (o.ended) end(h);
     if (o.ended && h.q.limits) cancel_open(h, sink);  // the copy that lost
@@ -608,6 +609,13 @@
     return made <= s_.rules.extra_free + s_.rules.extra_share * static_cast<double>(taken_.size());
   }
 
+  // Rule 7 spares engines work: an attempt that was never sent made none.
+  void give_back_ration(const Attempt& a) {
+    if (s_.limits.unsent_attempts_count || !as_earlier(a).unsent) return;
+    const auto place = std::find(extras_.begin(), extras_.end(), a.sent_at);
+    if (place != extras_.end()) extras_.erase(place);
+  }
+
   bool cold(const Engine& e, TimeUs now) const {
     return s_.rules.fall_multiple > 0 && e.entry.started_at > 0 &&
            now - e.entry.started_at < s_.rules.cold_for;
--- a/tests/reducer/unsent_attempts_test.cpp
+++ b/tests/reducer/unsent_attempts_test.cpp
@@ -31,6 +31,24 @@
   EXPECT_EQ(starts(), 4U);
 }
 
+// Rule 7 allows one further attempt: the one that fails to connect leaves it to the next.
+TEST_F(UnsentAttempts, AConnectThatFailsUsesUpNoAllowanceForFurtherAttempts) {
+  settings.rules.attempts_rationed = true;
+  settings.rules.extra_free = 1;
+  settings.rules.extra_window = 10 * kSecond;
+  begin(4);
+  request(1);
+  for (std::size_t failed = 1; failed <= 2; ++failed) {
+    ASSERT_EQ(starts(), failed);
+    broke(last().call, ConnectionEnd::kUnreachable);
+    run_until(now + 10 * kMs);
+  }
+  ASSERT_EQ(starts(), 3U);
+  broke(last().call, ConnectionEnd::kClosedUnanswered);  // this one was sent: the allowance is used up
+  run_until(now + 500 * kMs);
+  EXPECT_EQ(starts(), 3U);
+}
+
 TEST_F(UnsentAttempts, ConnectsThatFailAreBounded) {
   constexpr std::size_t kMostOfThreeAttempts = 12;
   begin(30);
