Operators' limits count attempts when begun; the properties tell attempts begun from attempts sent

`QueryLimits` gets the count of attempts begun again: `attempts` and `retries` of limits.yaml bound what this gateway does, connects included, as before. Only the settings' most attempts and the ration of rule 7 leave out what was never sent.

--- a/src/decision/permission.cpp
+++ b/src/decision/permission.cpp
@@ -31,7 +31,8 @@
 }
 
 bool attempts_left(const Limits& limits, AttemptCounts made) {
-  return counted(limits, made) < limits.max_attempts && made.unsent < kUnsentPerAttempt * limits.max_attempts;
+  const int counted = made.sent + (limits.unsent_attempts_count ? made.unsent : 0);
+  return counted < limits.max_attempts && made.unsent < kUnsentPerAttempt * limits.max_attempts;
 }
 
 Denial repeat_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, const EngineEntry& to,
--- a/src/decision/permission.h
+++ b/src/decision/permission.h
@@ -47,11 +47,6 @@
   int unsent = 0;  // over, and never sent
 };
 
-// So many of them count against what is allowed.
-inline int counted(const Limits& limits, AttemptCounts made) {
-  return made.sent + (limits.unsent_attempts_count ? made.unsent : 0);
-}
-
 // Whether the settings allow one more.
 bool attempts_left(const Limits& limits, AttemptCounts made);
 
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -578,9 +578,9 @@
   bool may_send(const Held& h, const Engine& e, TimeUs now) {
     const ClassSettings& c = cls(h);
     if (h.ended || now >= h.deadline) return false;
-    const AttemptCounts made = h.made();
-    if (!attempts_left(s_.limits, made)) return false;
-    if (h.q.limits && !h.q.limits->may_send(now, counted(s_.limits, made), h.in_flight())) return false;
+    if (!attempts_left(s_.limits, h.made())) return false;
+    const int begun = static_cast<int>(h.attempts.size());
+    if (h.q.limits && !h.q.limits->may_send(now, begun, h.in_flight())) return false;
     return e.listed  // rule 3: from the moment a drain is told, well inside the grace
            && effect_allows(h, c, e, now) && placement_allows(c, e) && ration_allows(h, now) &&
            cold_allows(h, e, now);
@@ -684,14 +684,14 @@
   // After an outcome that did not end the query: try again where the rules allow it, else answer now.
   void next_step(TimeUs now, Held& h, ActionSink& sink) {
     if (h.waiting || h.in_flight() > 0) return;
-    const AttemptCounts made = h.made();
-    const bool tries_left = attempts_left(s_.limits, made);
+    const bool tries_left = attempts_left(s_.limits, h.made());
     const bool may_repeat = std::any_of(engines_.begin(), engines_.end(), [&](const auto& p) {
       return effect_allows(h, cls(h), p.second, now) && placement_allows(cls(h), p.second);
     });
     const QueryLimits* const own = h.q.limits.get();
     const TimeUs next = own ? std::max(own->next_send_at(), now) : now;
-    const bool may_follow = !own || own->may_follow(now, h.attempts.back().outcome, counted(s_.limits, made));
+    const bool may_follow =
+        !own || own->may_follow(now, h.attempts.back().outcome, static_cast<int>(h.attempts.size()));
     if (!tries_left || !may_repeat || !may_follow || next >= give_up_at(h)) return answer(now, h, sink);
     hold(h);
     sink.set_timer(give_up_at(h) - now, kTokenWake);
@@ -793,7 +793,7 @@
       for (const auto& [query, n] : e.out) {
         Held& h = queries_.at(query);
         Attempt& a = h.attempts[static_cast<size_t>(n)];
-        const int sent = counted(s_.limits, h.made());
+        const int sent = static_cast<int>(h.attempts.size());
         if (!h.ended && !h.waiting && h.q.limits && h.q.limits->copy_due(now, a.sent_at, sent)) hold(h);
         if (a.given_up) continue;  // counted once: an old silence must not put off the next trial for ever
         const bool notes = s_.progress_interval > 0;
