What this process lacked, or took back, counts as no attempt either

`never_sent` in decision/permission says which ends these are, for module and reducer alike; the bound on attempts never sent (four times the attempts) ends a query that only meets such. Tests: each end without a byte sent, by name.

--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -92,7 +92,7 @@
     std::optional<double> told_memory_mb;
     OutcomeKind given_up_as = OutcomeKind::kCancelled;
     bool ran = true;      // once it is over: whether it may have
-    bool unsent = false;  // its connection never came up
+    bool unsent = false;  // likewise: whether not a byte of it was sent
   };
 
   struct QueryState {
--- a/src/core/reducer_attempts.cpp
+++ b/src/core/reducer_attempts.cpp
@@ -246,7 +246,7 @@
   AttemptState& a = attempt_at(id, n);
   a.phase = Phase::kOver;
   a.ran = a.started && kind != OutcomeKind::kFull;
-  a.unsent = !a.started && kind == OutcomeKind::kConnectFailed;
+  a.unsent = !a.started && never_sent(kind);
   // Guards against pages of an attempt that was given up staying for as long as its query waits: a pool full
   // of them stops all reading.
   if (kind != OutcomeKind::kOk) a.rows.clear();
--- a/src/decision/permission.h
+++ b/src/decision/permission.h
@@ -38,9 +38,14 @@
   bool may_have_run = false;  // nothing proves that it did not
   std::string_view zone;      // of its engine, as is the cell
   int cell = 0;
-  bool unsent = false;  // its connection never came up: not a byte of it was sent
+  bool unsent = false;  // over, and not a byte of it was sent
 };
 
+// Not a byte of an attempt that ended so was sent.
+inline bool never_sent(OutcomeKind kind) {
+  return kind == OutcomeKind::kConnectFailed || kind == OutcomeKind::kMoot;
+}
+
 // The attempts that a query had.
 struct AttemptCounts {
   int sent = 0;    // or still out
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -58,9 +58,7 @@
   return mix(h);
 }
 
-bool never_ran(OutcomeKind k) {
-  return k == OutcomeKind::kFull || k == OutcomeKind::kConnectFailed || k == OutcomeKind::kMoot;
-}
+bool never_ran(OutcomeKind k) { return k == OutcomeKind::kFull || never_sent(k); }
 
 // --- Records ----------------------------------------------------------------------------------------------
 struct Attempt {
@@ -77,7 +75,7 @@
 };
 
 EarlierAttempt as_earlier(const Attempt& a) {
-  const bool unsent = !a.open && a.outcome == OutcomeKind::kConnectFailed;
+  const bool unsent = !a.open && never_sent(a.outcome);
   return {a.sent_at, a.open, a.open || !never_ran(a.outcome), a.to.zone, a.to.cell, unsent};
 }
 
--- a/tests/reducer/unsent_attempts_test.cpp
+++ b/tests/reducer/unsent_attempts_test.cpp
@@ -49,6 +49,29 @@
   EXPECT_EQ(starts(), 3U);
 }
 
+class EndsWithoutAByteSent : public UnsentAttempts, public ::testing::WithParamInterface<ConnectionEnd> {};
+
+// Whichever call failed: socket, connect, or the first send.
+TEST_P(EndsWithoutAByteSent, UseUpNoAttempt) {
+  begin(4);
+  request(1);
+  for (std::size_t failed = 1; failed <= 3; ++failed) {
+    ASSERT_EQ(starts(), failed);
+    broke(last().call, GetParam());
+    run_until(now + 10 * kMs);
+  }
+  EXPECT_EQ(starts(), 4U);
+  answer(last().call, CallAnswer::Kind::kServed, "rows", 1);
+  EXPECT_EQ(answers[1], std::vector<std::string>{"served rows"});
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, EndsWithoutAByteSent,
+                         ::testing::Values(ConnectionEnd::kRefused, ConnectionEnd::kNotUpInTime,
+                                           ConnectionEnd::kUnreachable, ConnectionEnd::kNoDescriptor,
+                                           ConnectionEnd::kResetUnsent, ConnectionEnd::kClosedUnsent,
+                                           ConnectionEnd::kClosedIdle, ConnectionEnd::kWithdrawn),
+                         [](const auto& end) { return std::string(name_of(end.param)); });
+
 TEST_F(UnsentAttempts, ConnectsThatFailAreBounded) {
   constexpr std::size_t kMostOfThreeAttempts = 12;
   begin(30);
