--- a/tests/soak/soak_audit.cpp
+++ b/tests/soak/soak_audit.cpp
@@ -1,6 +1,7 @@
 #include "soak_audit.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace orchidgw::soak {
@@ -18,6 +19,29 @@
 constexpr milliseconds kClosesFrom{600};        // clients send on open connections so long after SIGTERM
 constexpr milliseconds kCrossing{50};           // a request and the end of its connection
 constexpr milliseconds kLogNoticedWithin{600};  // after the change log was down
+// Half of what a policy serves that sees the true state; none serves more than all.
+constexpr double kServedLeast = 0.5;
+constexpr double kClassOfWeight = 0.05;  // of the requests: classes below are not judged by themselves
+// Slow start, as the settings of the soak have it.
+constexpr double kEngineCores = 8;
+constexpr double kColdFrom = 0.3;  // of an engine's capacity
+constexpr milliseconds kColdFor{5000};
+constexpr double kFallMultiple = 1;
+constexpr milliseconds kFallWindow{1000};
+constexpr double kFewCalls = 30;  // with fewer allowed, the slack is larger
+
+// Of calls that keep one core busy for `mean_work`.
+double calls_allowed(Clock::duration age, Clock::duration mean_work) {
+  using Seconds = std::chrono::duration<double>;
+  const double warm = std::clamp(Seconds(age) / Seconds(kColdFor), 0.0, 1.0);
+  const double capacity = kEngineCores * (kColdFrom + (1 - kColdFrom) * warm);
+  return kFallMultiple * capacity * (Seconds(kFallWindow) / Seconds(mean_work));
+}
+
+double calls_before_a_fall(double allowed) {
+  const double root = std::sqrt(allowed);
+  return allowed < kFewCalls ? allowed + 3 * root + 3 : allowed + 2 * root + 2;
+}
 
 bool overlaps(const Interval& a, Instant from, Instant to) { return a.from < to && from < a.to; }
 
@@ -125,6 +149,11 @@
   machine_still_.push_back(at);
 }
 
+void SoakAudit::begins_cold(const std::string& engine) {
+  const std::lock_guard lock(mutex_);
+  cold_.emplace_back(engine, Clock::now());
+}
+
 Clock::duration SoakAudit::stood_still(const Request& request, Instant from, Instant to) const {
   Clock::duration sum = request.process->stood_still_within(from, to);
   for (const Interval& at : machine_still_)
@@ -221,6 +250,68 @@
   const std::lock_guard lock(mutex_);
   std::vector<std::string> out;
   for (const auto& [id, request] : requests_) judge(id, request, out);
+  for (const auto& [engine, told] : cold_) judge_slow_start(engine, told, out);
+  return out;
+}
+
+std::vector<Instant> SoakAudit::starts_at(const std::string& engine, Instant from) const {
+  std::vector<Instant> out;
+  for (const auto& [id, request] : requests_)
+    for (const Start& start : request.starts)
+      if (start.engine == engine && start.at >= from) out.push_back(start.at);
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+// The sum over all processes, once all of them have been told of the engine's start.
+void SoakAudit::judge_slow_start(const std::string& engine, Instant told,
+                                 std::vector<std::string>& out) const {
+  const bool log_was_down =
+      std::any_of(change_log_down_.begin(), change_log_down_.end(),
+                  [&](const Interval& down) { return overlaps(down, told, told + kColdFor); });
+  if (log_was_down) return;
+  const std::vector<Instant> starts = starts_at(engine, told + kLogNoticedWithin);
+  for (std::size_t from = 0, to = 0; to < starts.size() && starts[to] < told + kColdFor; ++to) {
+    while (starts[from] + kFallWindow <= starts[to]) ++from;
+    const auto calls = static_cast<double>(to - from + 1);
+    const double allowed = calls_allowed(starts[to] - told, kMeanWork);
+    if (calls <= calls_before_a_fall(allowed)) continue;
+    std::ostringstream line;
+    line << "failback: " << calls << " calls within " << ms(kFallWindow) << " at " << engine << ", "
+         << ms(starts[to] - told) << " after its start, which allows " << allowed;
+    return out.push_back(line.str());
+  }
+}
+
+std::map<std::string, SoakAudit::Share> SoakAudit::shares() const {
+  std::map<std::string, Share> out;
+  for (const auto& [id, request] : requests_) {
+    if (request.query_class == nullptr || request.left_at || request.process->was_killed()) continue;
+    Share& share = out[request.query_class->name];
+    ++share.asked;
+    if (request.answered_at && request.kind == Kind::kServed) ++share.served;
+  }
+  return out;
+}
+
+std::vector<std::string> SoakAudit::low_shares() const {
+  const std::lock_guard lock(mutex_);
+  const std::map<std::string, Share> by_class = shares();
+  Share all;
+  for (const auto& [name, share] : by_class) {
+    all.asked += share.asked;
+    all.served += share.served;
+  }
+  std::vector<std::string> out;
+  const auto judge_share = [&](const std::string& of, const Share& share) {
+    if (share.value() < kServedLeast)
+      out.push_back("share: " + std::to_string(share.served) + " of " + std::to_string(share.asked) +
+                    " served of " + of);
+  };
+  judge_share("all", all);
+  for (const auto& [name, share] : by_class)
+    if (static_cast<double>(share.asked) >= kClassOfWeight * static_cast<double>(all.asked))
+      judge_share("class " + name, share);
   return out;
 }
 
@@ -240,6 +331,7 @@
     unread += closed && request.process->left_unread(request.asked_at, *request.answered_at) ? 1 : 0;
   }
   std::ostringstream out;
+  for (const auto& [name, share] : shares()) out << name << ' ' << share.served << '/' << share.asked << ", ";
   out << requests_.size() << " requests, " << kinds[Kind::kServed] << " served, " << kinds[Kind::kRefused]
       << " refused, " << kinds[Kind::kFailed] << " failed, " << left << " left, " << unread
       << " not read as their connection ended in a shutdown; " << starts << " starts, " << repeats
--- a/tests/soak/soak_audit.h
+++ b/tests/soak/soak_audit.h
@@ -27,6 +27,10 @@
   milliseconds repeat_window{0};
 };
 
+// Of a query at an engine, which is what an engine bills for it: so much of a core.
+constexpr milliseconds kLeastWork{10};
+constexpr milliseconds kMeanWork{90};
+
 struct Interval {
   Instant from;
   Instant to;
@@ -75,10 +79,13 @@
   void ended(const RequestId& id, StartNumber start, StartEnd end);
   void drains(const std::string& engine);  // told in the change log
   void change_log_was_down(Interval at);
-  void machine_stood_still(Interval at);  // this test's own threads got no core
+  void machine_stood_still(Interval at);        // this test's own threads got no core
+  void begins_cold(const std::string& engine);  // its start has been told in the change log
 
   // All that was broken, a line each.
   std::vector<std::string> broken_rules() const;
+  // Of all requests, and of each class, that got less served than a gateway has to.
+  std::vector<std::string> low_shares() const;
   std::string summary() const;
 
  private:
@@ -101,7 +108,17 @@
     std::vector<Start> starts;
   };
 
+  struct Share {
+    std::size_t asked = 0;
+    std::size_t served = 0;
+    double value() const { return asked > 0 ? static_cast<double>(served) / static_cast<double>(asked) : 1; }
+  };
+
   static Instant over_at(const Start& start);
+  // By class; those that left, and those of processes that were killed, are nobody's duty.
+  std::map<std::string, Share> shares() const;
+  std::vector<Instant> starts_at(const std::string& engine, Instant from) const;
+  void judge_slow_start(const std::string& engine, Instant told, std::vector<std::string>& out) const;
   // Of the request's process or of the machine.
   Clock::duration stood_still(const Request& request, Instant from, Instant to) const;
   void judge(const RequestId& id, const Request& request, std::vector<std::string>& out) const;
@@ -113,6 +130,7 @@
   mutable std::mutex mutex_;
   std::map<RequestId, Request> requests_;
   std::map<std::string, Instant> draining_;
+  std::vector<std::pair<std::string, Instant>> cold_;  // engine, when its start was told
   std::vector<Interval> change_log_down_;
   std::vector<Interval> machine_still_;
 };
--- /dev/null
+++ b/tests/soak/soak_client.h
@@ -0,0 +1,35 @@
+// A client of the soak: one request after the other, on one connection for as long as it lasts.
+#pragma once
+
+#include <memory>
+#include <random>
+
+#include "integration/front_client.h"
+#include "soak_audit.h"
+#include "soak_fleet.h"
+
+namespace orchidgw::soak {
+
+class SoakClient {
+ public:
+  SoakClient(SoakAudit& audit, SoakFleet& fleet, Place& place, unsigned seed)
+      : audit_(audit), fleet_(fleet), place_(place), random_(seed) {}
+
+  void run(Instant end);
+
+ private:
+  void connect();
+  // These are false if the connection is over.
+  bool ask();
+  bool leave(const SoakAudit::RequestId& id);
+
+  SoakAudit& audit_;
+  SoakFleet& fleet_;
+  Place& place_;
+  std::mt19937 random_;
+  std::shared_ptr<ProcessRecord> record_;  // of the process that it is connected to
+  std::unique_ptr<integration::FrontClient> client_;
+  std::int32_t sequence_ = 0;
+};
+
+}  // namespace orchidgw::soak
--- a/tests/soak/soak_engine.cpp
+++ b/tests/soak/soak_engine.cpp
@@ -22,6 +22,12 @@
   return out;
 }
 
+HttpReply served_after(milliseconds takes) {
+  HttpReply out = integration::served("a\tb\tc\n");
+  out.headers["X-Cost-Ms"] = std::to_string(takes.count());
+  return out;
+}
+
 HttpReply full() { return reply(503, {{"Not-Begun", "1"}}); }
 
 }  // namespace
@@ -91,9 +97,9 @@
   }
   {
     const std::lock_guard lock(mutex_);
-    std::exponential_distribution<double> work(1.0 / 80);
-    const milliseconds takes(10 + static_cast<long>(work(random_)));
-    running_[reference] = {number, Clock::now() + takes, Clock::now(), false};
+    std::exponential_distribution<double> work(1.0 / static_cast<double>((kMeanWork - kLeastWork).count()));
+    const milliseconds takes = kLeastWork + milliseconds(static_cast<long>(work(random_)));
+    running_[reference] = {number, takes, Clock::now() + takes, Clock::now(), false};
   }
   if (fault_ == EngineFault::kFails && draw(kFaultShare)) {
     audit_.ended(reference, number, StartEnd::kAnswered);
@@ -120,7 +126,7 @@
       audit_.asked_for(reference, query.start);
       if (Clock::now() >= query.done_at) {
         query.over = true;
-        return integration::served("a\tb\tc\n");
+        return served_after(query.takes);
       }
     }
     if (Clock::now() >= until) return reply(202);
--- a/tests/soak/soak_engine.h
+++ b/tests/soak/soak_engine.h
@@ -28,6 +28,7 @@
  private:
   struct Running {
     SoakAudit::StartNumber start = 0;
+    milliseconds takes{0};
     Instant done_at;
     Instant last_asked;
     bool over = false;
--- /dev/null
+++ b/tests/soak/soak_fleet.h
@@ -0,0 +1,83 @@
+// The controllers, engines and change log of a soak, and what went wrong with them besides the rules.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "faults/fault_switch.h"
+#include "integration/change_log_stand_in.h"
+#include "integration/controller_process.h"
+#include "soak_audit.h"
+#include "soak_engine.h"
+
+namespace orchidgw::soak {
+
+// The classes of the controllers' settings.
+const std::vector<QueryClass>& query_classes();
+
+// A controller's place: the process that clients are sent to now.
+struct Place {
+  std::mutex mutex;  // of process and record
+  std::shared_ptr<integration::ControllerProcess> process;
+  std::shared_ptr<ProcessRecord> record;
+  std::unique_ptr<faults::FaultSwitch> faults = std::make_unique<faults::FaultSwitch>();
+  std::mutex fault;  // one fault at a time ends or stops a process
+};
+
+class SoakFleet {
+ public:
+  SoakFleet(SoakAudit& audit, unsigned seed);
+
+  std::size_t size() const { return places_.size(); }
+  Place& place(std::size_t i) { return *places_[i]; }
+  std::string address_of(Place& place);
+
+  // Starts a process in that place, on an address of its own; clients come to it from then on.
+  void begin(std::size_t i);
+  void kill_and_begin(std::size_t i);
+  // SIGTERM, perhaps amid other signals, with a new process in its place before the old one ends.
+  void restart(std::size_t i, bool with_series, milliseconds new_one_after);
+  void stop_all();
+
+  std::shared_ptr<SoakEngine> any_engine(std::mt19937& random);
+  // One engine at a time is gone, so these draw theirs when it is their turn.
+  void crash_one(std::mt19937& random, milliseconds gone_for);
+  void replace_one(std::mt19937& random, milliseconds drains_for);
+  void fail_change_log(milliseconds down_for);
+
+  int started_processes() const { return started_processes_; }
+  std::vector<std::string> problems() const;
+  std::string overdue_lines() const;  // requests that the reducer's own watch failed
+
+ private:
+  std::shared_ptr<integration::ControllerProcess> started(const integration::ControllerOptions& options);
+  void stop(integration::ControllerProcess& process, ProcessRecord& record);
+  void look_for_violations(const std::string& log, const std::string& name);
+  void note(const std::string& line);
+  void add_engine(unsigned seed);
+  void tell_start(const std::string& id, const std::string& member);
+  void set_member(const std::string& id, const std::string& member);
+
+  SoakAudit& audit_;
+  integration::ChangeLogStandIn change_log_;
+  std::mutex engines_mutex_;
+  std::mutex engine_ends_;
+  std::map<std::string, std::string> members_;
+  std::vector<std::shared_ptr<SoakEngine>> engines_;
+  std::vector<std::shared_ptr<SoakEngine>> retired_;  // drained: their last queries may still run
+  std::vector<std::unique_ptr<Place>> places_;
+  std::atomic<int> started_processes_{0};
+  std::atomic<int> made_engines_{0};
+  mutable std::mutex mutex_;  // of what follows
+  std::vector<std::thread> stopping_;
+  std::vector<std::string> problems_;
+  std::string overdue_lines_;
+};
+
+}  // namespace orchidgw::soak
