--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -10,7 +10,7 @@
 class FrontDoorMemory : public FrontDoorTest {
  protected:
   static constexpr std::int32_t kManyCalls = 2000;  // more than a paused client may have held
-  static constexpr std::size_t kMoreThanSocketsTake = 16UL * 1024 * 1024;
+  static constexpr std::size_t kBytesOfMuch = 16UL * 1024 * 1024;
   static constexpr int kSomeTurns = 50;
 
   static std::string calls_from(std::int32_t first) {
@@ -23,7 +23,7 @@
     served.client = std::get<core::RequestArrived>(events.front()).client;
     served.tag = tag;
     net::BufferChain rows(pool);
-    rows.append(std::string(kMoreThanSocketsTake, 'x'));
+    rows.append(std::string(kBytesOfMuch, 'x'));
     served.pages.push_back(std::make_unique<net::ChainPayload>(std::move(rows)));
     door->answer(served);
   }
