Soak client: a reference that it never used is gone; two comments say what is so

Cause: as the soak was split into files, its client kept a reference to the fleet that nothing calls, and two comments said too much: of `mutants.sh`, that faults are not hidden (one mutant lives), and that a function prints what it writes to a file.

Change: both mended; behaviour, checks and bounds as they were.

--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -31,7 +31,7 @@
   }
 }
 
-# Prints what the soak said; its exit code.
+# What the soak says goes to a file; returns its exit code.
 play() {
   ORCHIDGW_SOAK_SEEDS=$seed ORCHIDGW_SOAK_PROGRAM=$work/build/orchidgw "$soak" >"$work/out" 2>&1
 }
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -12,8 +12,7 @@
 
 class SoakClient {
  public:
-  SoakClient(SoakAudit& audit, SoakFleet& fleet, Place& place, unsigned seed)
-      : audit_(audit), fleet_(fleet), place_(place), random_(seed) {}
+  SoakClient(SoakAudit& audit, Place& place, unsigned seed) : audit_(audit), place_(place), random_(seed) {}
 
   void run(Instant end);
 
@@ -25,7 +24,6 @@
   integration::FrontAnswer receive();
 
   SoakAudit& audit_;
-  SoakFleet& fleet_;
   Place& place_;
   std::mt19937 random_;
   std::shared_ptr<ProcessRecord> record_;  // of the process that it is connected to
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -26,7 +26,7 @@
 constexpr unsigned kCrowdedSeeds = 3;  // one in so many has crowds
 
 // Where this machine has no core for a thread that only sleeps, it has none for the others either: that
-// time is laid on nobody. `mutants.sh` shows that faults are not hidden by it.
+// time is laid on nobody. `mutants.sh` asks whether faults are hidden by it.
 void watch_machine(SoakAudit& audit, Instant end) {
   constexpr milliseconds kPause{5};
   constexpr milliseconds kLateFrom{20};
@@ -45,7 +45,7 @@
   threads.emplace_back([&] { watch_machine(audit, end); });
   for (unsigned i = 0; i < fleet.size() * kClientsEach; ++i)
     threads.emplace_back(
-        [&, i] { SoakClient(audit, fleet, fleet.place(i % fleet.size()), seed * 1000 + i).run(end); });
+        [&, i] { SoakClient(audit, fleet.place(i % fleet.size()), seed * 1000 + i).run(end); });
   for (unsigned i = 0; i < kFaultThreads; ++i)
     threads.emplace_back(
         [&, i] { SoakFaults(fleet, seed * 7919 + i, seed % kCrowdedSeeds == 0).run(end, faults); });
