--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -21,14 +21,15 @@
   kShed,               // shed by a reduced service level
   kIntentNotStored,    // it must not run twice, and its intent can't be stored
   kShutDown,           // the controller shuts down before it can be answered
+  kKeysFull,           // its idempotency key is new, and no further key can be remembered
   kBacklog,            // its client is paused (memory, unread answers), and its call can't be held any longer
 };
 inline constexpr std::size_t kReasonCount = static_cast<std::size_t>(Reason::kBacklog) + 1;
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasonCount> kNames = {
-      "none",     "decision", "rate",         "concurrency", "line_full", "closed",    "held_too_long",
-      "attempts", "outcome",  "retry_budget", "shed",        "no_intent", "shut_down", "backlog"};
+      "none",    "decision",     "rate", "concurrency", "line_full", "closed",    "held_too_long", "attempts",
+      "outcome", "retry_budget", "shed", "no_intent",   "shut_down", "keys_full", "backlog"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -16,6 +16,7 @@
       counters_(counters),
       bounds_(bounds),
       module_(make_workload_budget(settings, seed)),
+      key_history_(bounds.max_remembered_keys),
       limiter_(settings, seed) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
     class_indexes_[settings_.classes[i].name] = static_cast<int>(i);
@@ -123,6 +124,7 @@
 void Reducer::accept_request(RequestArrived& event, int class_index) {
   const QueryId id = new_query_id();
   QueryState& query = queries_[id];
+  query.id = id;
   query.client = event.client;
   query.tag = event.tag;
   query.request = std::move(*event.request);
@@ -135,6 +137,7 @@
   open_requests_[{event.client, event.tag}] = id;
   ++counters_.accepted_queries;
   queries_to_check_.push_back(id);
+  if (class_of(query).effect == Effect::kDeduplicated && !passes_key_history(id)) return;
   if (key_lookup_ && !passes_key_check(id)) return;
   // During a shutdown the time budget ends with the shutdown, and a request that arrives later is refused, so
   // that none is left without an answer.
@@ -168,6 +171,25 @@
   return keyed ? "key " + query.request.idempotency_key : "reference " + query.request.reference;
 }
 
+// Prevents a second run of a query that an earlier try of this process may have run, after the time in which
+// engines recognise the repeat.
+bool Reducer::passes_key_history(QueryId id) {
+  QueryState& query = queries_.at(id);
+  query.key_starts = key_history_.open(now_, query.request.idempotency_key);
+  if (!query.key_starts) {
+    refuse_request(id, Reason::kKeysFull, longest_retry_after());
+    return false;
+  }
+  const auto earlier = earlier_try_of(query);
+  if (!earlier || now_ < repeat_window_end(class_of(query), std::span(&*earlier, 1))) return true;
+  fail_request(id, "an earlier try may have run");
+  return false;
+}
+
+std::optional<EarlierAttempt> Reducer::earlier_try_of(const QueryState& query) const {
+  return orchidgw::earlier_try_of(query.id, query.key_starts.get());
+}
+
 // Prevents a second run of a query that an earlier process sent without seeing its end. Such a query is
 // failed without an attempt; it is not refused, because a refusal tells the client that a retry is harmless.
 bool Reducer::passes_key_check(QueryId id) {
@@ -243,6 +265,7 @@
   module_query.cost_estimate = query.request.cost_estimate;
   module_query.is_retry = query.request.is_retry;
   module_query.waited = now_ - query.accepted_at;
+  module_query.key_starts = query.key_starts;
   module_query.limits =
       levels_.wrap_query_limits(limiter_.query_limits(id), query.request.tenant, query.accepted_at);
   if (trace_enabled_) trace_accepted(module_query, query);
@@ -344,6 +367,7 @@
   attempt.adapter_id = ++last_attempt_;
   attempt.last_answer_at = now_;
   attempt.address = it->second.address;
+  if (query->key_starts) query->key_starts->add(id, static_cast<int>(attempt_index), now_, it->second.entry);
   schedule_timer(TimerKind::kAttemptStop, attempt.stop_at, id, attempt_index);
   if (trace_enabled_) trace_sent(id, attempt_index, *query);
   send_call(id, attempt_index, CallKind::kStart);
@@ -363,8 +387,9 @@
     if (i != attempt_index) others.push_back(to_earlier_attempt(query.attempts[i]));
   const auto engine = engines_.find(attempt.engine);
   const EngineEntry* to = engine == engines_.end() ? nullptr : &engine->second.entry;
-  return orchidgw::start_denied({class_of(query), to, query.ended, attempt.stop_at, settings_.limits}, others,
-                                now);
+  const StartRequest start{class_of(query),      to, query.ended, attempt.stop_at, settings_.limits,
+                           earlier_try_of(query)};
+  return orchidgw::start_denied(start, others, now);
 }
 
 // Checks again at the first byte, because a start may have become forbidden since it was chosen: it can wait
@@ -380,12 +405,17 @@
   return denial;
 }
 
-bool Reducer::may_refuse(const QueryState& query) const {
+bool Reducer::attempts_allow_refusal(const QueryState& query) const {
   return std::all_of(query.attempts.begin(), query.attempts.end(), [&](const AttemptState& attempt) {
-    return refusal_denied(class_of(query), to_earlier_attempt(attempt)) == Denial::kNone;
+    return refusal_denied(class_of(query), to_earlier_attempt(attempt), now_) == Denial::kNone;
   });
 }
 
+bool Reducer::earlier_try_allows_refusal(const QueryState& query) const {
+  const auto earlier = earlier_try_of(query);
+  return !earlier || refusal_denied(class_of(query), *earlier, now_) == Denial::kNone;
+}
+
 void Reducer::record_violation(Denial denial, const QueryState& query) {
   ++counters_.violations[static_cast<std::size_t>(denial)];
   emit(LogText{log::Level::kError, std::string("not done, as it is not allowed: ") +
@@ -402,10 +432,11 @@
 void Reducer::refuse_request(QueryId id, Reason reason, TimeUs retry_after) {
   QueryState* query = find_query(id);
   if (query == nullptr || query->ended) return;
-  if (!may_refuse(*query)) {
+  if (!attempts_allow_refusal(*query)) {
     record_violation(Denial::kMayHaveRun, *query);
     return fail_request(id, "an attempt may have run");
   }
+  if (!earlier_try_allows_refusal(*query)) return fail_request(id, "an earlier try may have run");
   ++counters_.refused;
   ++counters_.refusals[static_cast<std::size_t>(reason)];
   if (levels_.has_levels() && reason != Reason::kShed)
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -17,6 +17,7 @@
 
 #include "core/effects.h"
 #include "core/events.h"
+#include "core/key_history.h"
 #include "core/keys.h"
 #include "core/timer_queue.h"
 #include "decision/decision.h"
@@ -37,6 +38,7 @@
   int max_failed_calls = 8;  // so many failed calls in a row are retried; one more gives the attempt up
   std::size_t max_result_bytes = 48'000;  // all pages of one result together
   std::size_t max_open_requests_per_client = 32;
+  std::size_t max_remembered_keys = 4096;  // idempotency keys of open and of recent requests
 };
 
 class Reducer final : private ActionSink {
@@ -75,6 +77,7 @@
   std::size_t queries() const { return queries_.size(); }
   std::size_t calls() const { return calls_.size(); }
   std::size_t engines() const { return engines_.size(); }
+  std::size_t remembered_keys() const { return key_history_.size(); }
   double cores() const;  // CPU cores of all engines in service
 
  private:
@@ -107,6 +110,7 @@
   };
 
   struct QueryState {
+    QueryId id = 0;
     ClientId client = 0;
     RequestTag tag = 0;
     ClientRequest request;
@@ -119,6 +123,7 @@
     double grant_mb = 0;
     bool ended = false;  // answered, or no answer is owed any more
     std::vector<AttemptState> attempts;
+    std::shared_ptr<KeyStarts> key_starts;  // of its idempotency key; null: repeats need not be recognised
   };
 
   struct CallOwner {
@@ -163,8 +168,13 @@
   void accept_request(RequestArrived& event, int class_index);
   void apply_verdict(QueryId id, const limits::Verdict& verdict);
   void pass_to_module(QueryId id);
-  // Refuses the request, which tells the client that a retry is harmless. Where may_refuse() does not allow
-  // that, records a violation and fails the request instead. Does nothing for a request that has its answer.
+  // False: the request has its answer, as an earlier try may have run and it is too late to repeat it, or as
+  // no further key can be remembered.
+  bool passes_key_history(QueryId id);
+  std::optional<EarlierAttempt> earlier_try_of(const QueryState& query) const;
+  // Refuses the request, which tells the client that a retry is harmless. Where its own attempts do not allow
+  // that, records a violation and fails the request instead; where an earlier try under its key does not
+  // allow it, fails the request. Does nothing for a request that has its answer.
   void refuse_request(QueryId id, Reason reason, TimeUs retry_after);
   const ClassSettings& class_of(const QueryState& query) const {
     return settings_.classes[static_cast<std::size_t>(query.class_index)];
@@ -212,7 +222,11 @@
   void answer_for_shutdown(QueryId id);
   void set_final_answer_timer(QueryId id, TimeUs due);
   Denial start_denied(const QueryState& query, std::size_t attempt_index, TimeUs now) const;
-  bool may_refuse(const QueryState& query) const;
+  bool attempts_allow_refusal(const QueryState& query) const;
+  bool earlier_try_allows_refusal(const QueryState& query) const;
+  bool may_refuse(const QueryState& query) const {
+    return attempts_allow_refusal(query) && earlier_try_allows_refusal(query);
+  }
   static EarlierAttempt to_earlier_attempt(const AttemptState& attempt);
   // Counts and logs an action that was asked for but is not allowed: a fault of the program.
   void record_violation(Denial denial, const QueryState& query);
@@ -271,6 +285,7 @@
   std::vector<QueryId> queries_to_check_;  // erased after the event if they are finished
   // References of all queries, so that an engine never has two under the same one.
   std::unordered_set<std::string> references_;
+  KeyHistory key_history_;
   limits::Limiter limiter_;
   service_level::ServiceLevel levels_;
   double buffers_used_ = 0;
--- a/src/core/reducer_attempts.cpp
+++ b/src/core/reducer_attempts.cpp
@@ -253,6 +253,9 @@
   attempt.phase = Phase::kConcluded;
   attempt.may_have_run = attempt.may_have_started && kind != OutcomeKind::kFull;
   attempt.unsent = !attempt.may_have_started && never_sent(kind);
+  const QueryState& query = queries_.at(id);
+  if (!attempt.may_have_run && query.key_starts)
+    query.key_starts->remove(id, static_cast<int>(attempt_index));
   // Pages of an attempt that was given up would otherwise stay as long as its query waits, and a buffer pool
   // full of them stops all reading.
   if (kind != OutcomeKind::kOk) attempt.result_pages.clear();
@@ -325,6 +328,9 @@
     if (!all_concluded) continue;
     limiter_.query_ended(now_, id);
     if (key_lookup_) release_key(id, it->second);
+    if (it->second.key_starts)
+      key_history_.close(now_, it->second.request.idempotency_key, id,
+                         key_retention_of(class_of(it->second)));
     statement_bytes_ -= it->second.request.statement.size();
     references_.erase(it->second.request.reference);
     queries_.erase(it);
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -158,6 +158,8 @@
   virtual bool second_copy_due(TimeUs now, TimeUs sent_at, int sent) const = 0;
 };
 
+class KeyStarts;
+
 struct Query {
   QueryId id = 0;
   std::string tenant;   // empty: untagged
@@ -170,6 +172,8 @@
   bool is_retry = false;     // the client says that it sent the query before
   TimeUs waited = 0;         // between its arrival at the gateway and this event; not part of the time budget
   std::shared_ptr<const QueryLimits> limits;  // null: none
+  // What was started under its idempotency key, also by later queries; null: not known.
+  std::shared_ptr<const KeyStarts> key_starts;
 };
 
 // This gateway's part, 0 to 1, of what a fleet of gateways shares (src/budget).
--- a/src/decision/permission.cpp
+++ b/src/decision/permission.cpp
@@ -1,6 +1,8 @@
 #include "decision/permission.h"
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace orchidgw {
 namespace {
@@ -11,9 +13,10 @@
 // tried over and over at engines that are all down.
 constexpr int kMaxUnsentPerAttempt = 4;
 
-bool refusal_is_safe(const ClassSettings& query_class) {
+bool refusal_is_safe(const ClassSettings& query_class, const EarlierAttempt& earlier, TimeUs now) {
   if (query_class.effect == Effect::kIdempotent) return true;
-  return query_class.effect == Effect::kDeduplicated && query_class.repeat_scope == RepeatScope::kAll;
+  return query_class.effect == Effect::kDeduplicated && query_class.repeat_scope == RepeatScope::kAll &&
+         now < earlier.sent_at + query_class.repeat_window;
 }
 
 AttemptCounts count_attempts(std::span<const EarlierAttempt> attempts) {
@@ -46,11 +49,34 @@
   return Denial::kNone;
 }
 
-Denial refusal_denied(const ClassSettings& query_class, const EarlierAttempt& earlier) {
-  if (refusal_is_safe(query_class) || !earlier.may_have_run) return Denial::kNone;
+Denial repeat_denied(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier,
+                     const EngineEntry& to, TimeUs now) {
+  for (const EarlierAttempt& attempt : earlier)
+    if (const Denial denial = repeat_denied(query_class, attempt, to, now); denial != Denial::kNone)
+      return denial;
+  return Denial::kNone;
+}
+
+TimeUs repeat_window_end(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier) {
+  TimeUs end = std::numeric_limits<TimeUs>::max();
+  if (query_class.effect != Effect::kDeduplicated) return end;
+  for (const EarlierAttempt& attempt : earlier)
+    if (attempt.may_have_run) end = std::min(end, attempt.sent_at + query_class.repeat_window);
+  return end;
+}
+
+Denial refusal_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, TimeUs now) {
+  if (!earlier.may_have_run || refusal_is_safe(query_class, earlier, now)) return Denial::kNone;
   return Denial::kMayHaveRun;
 }
 
+Denial refusal_denied(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier, TimeUs now) {
+  for (const EarlierAttempt& attempt : earlier)
+    if (const Denial denial = refusal_denied(query_class, attempt, now); denial != Denial::kNone)
+      return denial;
+  return Denial::kNone;
+}
+
 Denial start_denied(const StartRequest& start, std::span<const EarlierAttempt> others, TimeUs now) {
   if (start.query_ended) return Denial::kQueryOver;
   if (start.stop_at - now < kMinTimeLeft) return Denial::kOutOfTime;
@@ -62,7 +88,8 @@
     const Denial denial = repeat_denied(start.query_class, other, *start.engine, now);
     if (denial != Denial::kNone) return denial;
   }
-  return Denial::kNone;
+  return start.earlier_try ? repeat_denied(start.query_class, *start.earlier_try, *start.engine, now)
+                           : Denial::kNone;
 }
 
 }  // namespace orchidgw
--- a/src/decision/permission.h
+++ b/src/decision/permission.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -58,10 +59,18 @@
 // Why another attempt, at the engine `to`, may not follow `earlier`; kNone: it may.
 Denial repeat_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, const EngineEntry& to,
                      TimeUs now);
+// The first denial among several earlier attempts.
+Denial repeat_denied(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier,
+                     const EngineEntry& to, TimeUs now);
+
+// The instant from which no attempt may follow `earlier` any more, as engines may not recognise a repeat
+// then. The latest possible instant if there is none.
+TimeUs repeat_window_end(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier);
 
 // Why a query may not be refused after `earlier`; kNone: it may. A refusal tells the client that it is safe
-// to send the query again.
-Denial refusal_denied(const ClassSettings& query_class, const EarlierAttempt& earlier);
+// to send the query again, which is untrue once engines may no longer recognise the repeat.
+Denial refusal_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, TimeUs now);
+Denial refusal_denied(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier, TimeUs now);
 
 struct StartRequest {
   const ClassSettings& query_class;
@@ -69,10 +78,12 @@
   bool query_ended = false;
   TimeUs stop_at = 0;  // the instant from which nobody waits for the attempt any more
   const PolicyLimits& limits;
+  // The first start by another query under the same idempotency key; nullopt: none that may have run.
+  std::optional<EarlierAttempt> earlier_try = std::nullopt;
 };
 
 // Why an attempt may not start now; kNone: its query has not ended, enough time is left, its engine is in
-// service, and the query's other attempts allow it.
+// service, and the query's other attempts and the earlier try under its key allow it.
 Denial start_denied(const StartRequest& start, std::span<const EarlierAttempt> others, TimeUs now);
 
 // Why this side may not close a client's connection now; kNone: it may.
--- a/src/decision/workload_budget.cpp
+++ b/src/decision/workload_budget.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "decision/decision.h"
+#include "decision/key_starts.h"
 #include "decision/permission.h"
 
 namespace orchidgw {
@@ -112,6 +113,15 @@
   }
 };
 
+// Those of the query itself, and the first start by another query under its key.
+std::vector<EarlierAttempt> earlier_attempts(const TrackedQuery& tracked) {
+  std::vector<EarlierAttempt> earlier;
+  for (const Attempt& attempt : tracked.attempts) earlier.push_back(earlier_attempt(attempt));
+  const auto earlier_try = earlier_try_of(tracked.query.id, tracked.query.key_starts.get());
+  if (earlier_try) earlier.push_back(*earlier_try);
+  return earlier;
+}
+
 struct Engine {
   EngineEntry entry;
   std::uint64_t id_hash = 0;
@@ -597,7 +607,8 @@
   TimeUs give_up_at(const TrackedQuery& tracked) const {
     TimeUs latest = tracked.deadline - kAnswerMargin;
     if (tracked.query.limits && tracked.attempts.empty()) latest = tracked.query.limits->hold_until(latest);
-    if (!may_refuse(tracked)) return latest;
+    latest = std::min(latest, repeat_window_end(class_of(tracked), earlier_attempts(tracked)));
+    if (!may_refuse(tracked, tracked.arrived_at)) return latest;
     const double target_us = static_cast<double>(class_of(tracked).latency_target) +
                              class_of(tracked).latency_target_runtime_factor * ideal_us(tracked);
     return std::min(latest, tracked.arrived_at + static_cast<TimeUs>(std::max(
@@ -651,9 +662,7 @@
   bool effect_allows(const TrackedQuery& tracked, const ClassSettings& query_class, const Engine& engine,
                      TimeUs now) const {  // rule 2
     if (!settings_.limits.second_copies && tracked.in_flight() > 0) return false;
-    return std::all_of(tracked.attempts.begin(), tracked.attempts.end(), [&](const Attempt& attempt) {
-      return repeat_denied(query_class, earlier_attempt(attempt), engine.entry, now) == Denial::kNone;
-    });
+    return repeat_denied(query_class, earlier_attempts(tracked), engine.entry, now) == Denial::kNone;
   }
 
   static bool placement_allows(const ClassSettings& query_class, const Engine& engine) {  // rule 6
@@ -776,16 +785,14 @@
   }
 
   // Whether a refusal, which tells the client that a retry is harmless, is true after all attempts so far.
-  bool may_refuse(const TrackedQuery& tracked) const {
-    return std::all_of(tracked.attempts.begin(), tracked.attempts.end(), [&](const Attempt& attempt) {
-      return refusal_denied(class_of(tracked), earlier_attempt(attempt)) == Denial::kNone;
-    });
+  bool may_refuse(const TrackedQuery& tracked, TimeUs now) const {
+    return refusal_denied(class_of(tracked), earlier_attempts(tracked), now) == Denial::kNone;
   }
 
   // Rule 1: the only place that gives a final answer, as soon as the module gives the query up.
   void answer(TimeUs now, TrackedQuery& tracked, ActionSink& sink) {
     if (tracked.ended) return;
-    const bool refuse = may_refuse(tracked);
+    const bool refuse = may_refuse(tracked, now);
     mark_ended(tracked);
     cancel_in_flight(tracked, sink);
     if (!refuse) return sink.fail(tracked.query.id);
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t kStatementsDivisor = 16;  // statements of open queries, and the same for their copies
 constexpr std::int64_t kFramesDivisor = 16;      // incomplete frames
 constexpr std::int64_t kChangesDivisor = 64;  // an answer of the change log; parsing it takes ten times that
+constexpr std::int64_t kKeysDivisor = 32;     // idempotency keys that are remembered
+constexpr std::size_t kBytesPerKey = 640;     // at most: the key has up to 256
 constexpr std::size_t kClientsDivisor = 3;    // of the descriptors: clients hold a third at most
 constexpr std::size_t kReservedDescriptors = 32;  // listener, change log, signals, epoll, standard streams
 constexpr TimeUs kMaxWait = 1'000'000;
@@ -36,6 +38,12 @@
   return static_cast<std::size_t>(config.sockets) / kClientsDivisor + 1;
 }
 
+core::ProtocolBounds protocol_bounds(const config::ControllerConfig& config) {
+  core::ProtocolBounds bounds;
+  bounds.max_remembered_keys = memory_part(config, kKeysDivisor) / kBytesPerKey;
+  return bounds;
+}
+
 ClientListenerLimits front_limits(const config::ControllerConfig& config) {
   ClientListenerLimits limits;
   limits.clients = max_clients(config);
@@ -89,7 +97,7 @@
                [this] { return under_memory_pressure(); },
                [this](core::CallId call) { return reducer_.start_denied(monotonic_now(), call); },
                {}},
-      reducer_(config.settings, config.seed, counters_),
+      reducer_(config.settings, config.seed, counters_, protocol_bounds(config)),
       engines_(context_, engine_limits(config, fleet_descriptors)),
       change_log_(
           context_, config.change_log, config.initial_engine_list,
--- a/tests/unit/permission_test.cpp
+++ b/tests/unit/permission_test.cpp
@@ -99,8 +99,22 @@
   did_not_run.may_have_run = false;
   EXPECT_EQ(start_denial({may_have_run(kSecond)}), Denial::kMayHaveRun);
   EXPECT_EQ(start_denial({did_not_run}), Denial::kNone);
-  EXPECT_EQ(refusal_denied(query_class, may_have_run(kSecond)), Denial::kMayHaveRun);
-  EXPECT_EQ(refusal_denied(query_class, did_not_run), Denial::kNone);
+  EXPECT_EQ(refusal_denied(query_class, may_have_run(kSecond), kNow), Denial::kMayHaveRun);
+  EXPECT_EQ(refusal_denied(query_class, did_not_run, kNow), Denial::kNone);
+}
+
+TEST_F(Permission, RefusalOfAKeyedQueryIsDeniedFromTheEndOfItsWindow) {
+  EXPECT_EQ(refusal_denied(query_class, may_have_run(5 * kSecond - 1), kNow), Denial::kNone);
+  EXPECT_EQ(refusal_denied(query_class, may_have_run(5 * kSecond), kNow), Denial::kMayHaveRun);
+}
+
+TEST_F(Permission, AnEarlierTryUnderTheKeyBindsLikeAnAttemptButDoesNotCountAsOne) {
+  limits.max_attempts = 1;
+  const auto denial_after = [&](const EarlierAttempt& earlier_try) {
+    return start_denied({query_class, &engine, query_ended, stop_at, limits, earlier_try}, {}, kNow);
+  };
+  EXPECT_EQ(denial_after(may_have_run(5 * kSecond - 1)), Denial::kNone);
+  EXPECT_EQ(denial_after(may_have_run(5 * kSecond)), Denial::kWindowOver);
 }
 
 class EngineStart : public ::testing::Test {
