--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -21,6 +21,7 @@
   kShed,               // shed by a reduced service level
   kIntentNotStored,    // it must not run twice, and its intent can't be stored
   kShutDown,           // the controller shuts down before it can be answered
+  kOutOfTime,          // its client's time may be over, as it waited to be read
   kKeysFull,           // its idempotency key is new, and no further key can be remembered
   kBacklog,            // its client is paused (memory, unread answers), and its call can't be held any longer
 };
@@ -28,8 +29,9 @@
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasonCount> kNames = {
-      "none",    "decision",     "rate", "concurrency", "line_full", "closed",    "held_too_long", "attempts",
-      "outcome", "retry_budget", "shed", "no_intent",   "shut_down", "keys_full", "backlog"};
+      "none",          "decision",    "rate",      "concurrency",  "line_full", "closed",
+      "held_too_long", "attempts",    "outcome",   "retry_budget", "shed",      "no_intent",
+      "shut_down",     "out_of_time", "keys_full", "backlog"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -50,6 +50,9 @@
   std::string why;                       // if so, what is wrong with it
   // Not kNone: refuse it at once, as its connection accepts no new query.
   Reason refusal_reason = Reason::kNone;
+  // The earliest time at which it can have arrived; its client's time counts from then. 0: when the event is
+  // processed.
+  TimeUs arrived_at = 0;
 };
 
 struct RequestAborted {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -139,6 +139,10 @@
   queries_to_check_.push_back(id);
   if (class_of(query).effect == Effect::kDeduplicated && !passes_key_history(id)) return;
   if (key_lookup_ && !passes_key_check(id)) return;
+  // Guards against answers after the client's time: the request may have waited unread, while this process
+  // was stalled or memory was short.
+  if (event.arrived_at > 0) query.request.time_budget -= std::max<TimeUs>(now_ - event.arrived_at, 0);
+  if (query.request.time_budget <= 0) return refuse_request(id, Reason::kOutOfTime, longest_retry_after());
   // During a shutdown the time budget ends with the shutdown, and a request that arrives later is refused, so
   // that none is left without an answer.
   query.request.time_budget = std::min(query.request.time_budget, shutdown_answer_by_ - now_);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 #include "decision/permission.h"
@@ -23,7 +24,8 @@
 constexpr TimeUs kTransitTime = 100'000;      // without a byte for so long, none is on the way
 constexpr int kMaxInvalidRequests = 8;        // requests of one connection that break the protocol's rules
 constexpr TimeUs kUsPerMs = 1000;
-constexpr std::size_t kMaxHeldCalls = 32;  // of a paused client
+constexpr TimeUs kHeldCallMargin = 200'000;  // held calls are refused this long before their time ends
+constexpr std::size_t kMaxHeldCalls = 32;    // of a paused client
 constexpr std::size_t kMaxHeldBytes = 16UL * 1024;
 constexpr std::size_t kMaxUnsentRefusalBytes = 64UL * 1024;  // unsent bytes in addition to kMaxUnsentBytes
 constexpr std::size_t kMaxDiscardedBytes = 256UL * 1024;     // of a lingering connection
@@ -49,8 +51,8 @@
 
 }  // namespace
 
-ClientConnection::ClientConnection(Context& context, core::ClientId id, int fd, ClientTotals& totals,
-                                   std::function<bool()> is_ready,
+ClientConnection::ClientConnection(Context& context, core::ClientId id, int fd, TimeUs connected_since,
+                                   ClientTotals& totals, std::function<bool()> is_ready,
                                    std::function<void(core::ClientId, ConnectionEnd)> on_closed)
     : context_(context),
       id_(id),
@@ -62,6 +64,7 @@
       output_(context.pool),
       last_activity_at_(monotonic_now()),
       frame_started_at_(last_activity_at_) {
+  if (has_input(fd)) unread_since_ = connected_since;
   channel_.want_read(true);
 }
 
@@ -74,13 +77,14 @@
 }
 
 void ClientConnection::read_available() {
+  if (!unread_since_) unread_since_ = context_.earliest_arrival;
   for (int i = 0; i < kMaxReadsPerEvent; ++i) {
     if (context_.under_memory_pressure() || is_output_full()) pause();
-    if (!should_read()) return channel_.want_read(false);
+    if (!should_read()) return watch_input(false);
     BufferChain in(context_.pool);
     const std::span<char> writable_span = in.writable_span();
     const IoResult io_result = read_some(channel_.fd(), writable_span);
-    if (io_result.kind == IoResult::Kind::kWouldBlock) return;
+    if (io_result.kind == IoResult::Kind::kWouldBlock) return unread_since_.reset();
     if (io_result.kind == IoResult::Kind::kClosed) return close(ConnectionEnd::kClosedIdle);
     if (io_result.kind == IoResult::Kind::kReset) return close(ConnectionEnd::kResetUnanswered);
     context_.counters.client_bytes_in += io_result.bytes;
@@ -89,8 +93,15 @@
       return close_when_answered(ConnectionEnd::kUnreadable);
     if (!is_open() || closing_end_) return;
     if (!update_buffered_bytes()) return close_when_answered(ConnectionEnd::kLimitExceeded);
-    if (io_result.bytes < writable_span.size()) return;
+    if (io_result.bytes < writable_span.size()) return unread_since_.reset();
   }
+  if (!has_input(channel_.fd())) unread_since_.reset();
+}
+
+void ClientConnection::watch_input(bool on) {
+  if (!on && !unread_since_) unread_since_ = context_.earliest_arrival;
+  if (on && !has_input(channel_.fd())) unread_since_.reset();
+  channel_.want_read(on);
 }
 
 // Guards against memory filled with unfinished frames: a client that exceeds the common bound is closed.
@@ -121,10 +132,11 @@
 // bounds is refused at once: left unread, it would hide an abort behind it.
 void ClientConnection::handle_call(thrift::FrontCall call) {
   if (call.kind == thrift::FrontCall::Kind::kAbort) return handle_abort(call.aborted_sequence);
-  if (!paused_) return dispatch_call(call, Reason::kNone);
-  if (!can_hold_more() && reads_for_aborts()) return dispatch_call(call, Reason::kBacklog);
-  held_bytes_ += held_call_size(call);
-  held_calls_.push_back(std::move(call));
+  HeldCall arrived{std::move(call), unread_since_.value_or(context_.earliest_arrival)};
+  if (!paused_) return dispatch_call(arrived, Reason::kNone);
+  if (!can_hold_more() && reads_for_aborts()) return dispatch_call(arrived, Reason::kBacklog);
+  held_bytes_ += held_call_size(arrived.call);
+  held_calls_.push_back(std::move(arrived));
 }
 
 void ClientConnection::handle_abort(std::int32_t sequence) {
@@ -134,11 +146,11 @@
 }
 
 bool ClientConnection::remove_held_call(std::int32_t sequence) {
-  const auto it = std::find_if(held_calls_.begin(), held_calls_.end(), [&](const thrift::FrontCall& call) {
-    return call.kind == thrift::FrontCall::Kind::kInvoke && call.sequence == sequence;
+  const auto it = std::find_if(held_calls_.begin(), held_calls_.end(), [&](const HeldCall& held) {
+    return held.call.kind == thrift::FrontCall::Kind::kInvoke && held.call.sequence == sequence;
   });
   if (it == held_calls_.end()) return false;
-  held_bytes_ -= held_call_size(*it);
+  held_bytes_ -= held_call_size(it->call);
   held_calls_.erase(it);
   return true;
 }
@@ -153,15 +165,16 @@
   return (catching_up_ || !unanswered_.empty()) && output_.size() < kMaxUnsentBytes + kMaxUnsentRefusalBytes;
 }
 
-void ClientConnection::dispatch_call(const thrift::FrontCall& call, Reason refusal_reason) {
+void ClientConnection::dispatch_call(const HeldCall& held, Reason refusal_reason) {
   using Kind = thrift::FrontCall::Kind;
+  const thrift::FrontCall& call = held.call;
   if (!call.wants_answer) return;  // a client would not understand an answer to a oneway message
   if (call.kind == Kind::kPing) {
     send(thrift::pong(call.sequence, is_ready_()));
   } else if (call.kind == Kind::kInvoke) {
     unanswered_.insert(call.sequence);
     context_.post(core::RequestArrived{id_, call.sequence, call.request, call.why,
-                                       draining_ ? Reason::kShutDown : refusal_reason});
+                                       draining_ ? Reason::kShutDown : refusal_reason, held.arrived_at});
   } else {
     const auto error = thrift::ApplicationError::kUnknownMethod;
     send(thrift::application_exception(call.name, call.sequence, error, "unknown method"));
@@ -282,14 +295,14 @@
   }
   if (closing_end_) return close_if_answered();
   update_buffered_bytes();
-  channel_.want_read(should_read());
+  watch_input(should_read());
 }
 
-thrift::FrontCall ClientConnection::pop_held_call() {
-  thrift::FrontCall call = std::move(held_calls_.front());
+ClientConnection::HeldCall ClientConnection::pop_held_call() {
+  HeldCall held = std::move(held_calls_.front());
   held_calls_.pop_front();
-  held_bytes_ -= held_call_size(call);
-  return call;
+  held_bytes_ -= held_call_size(held.call);
+  return held;
 }
 
 void ClientConnection::refuse_held_calls() {
@@ -297,6 +310,23 @@
   if (is_open()) update_buffered_bytes();
 }
 
+// Guards against calls that are held past the time for which their clients wait, while memory is short.
+void ClientConnection::refuse_overdue_held_calls(TimeUs now) {
+  const auto is_overdue = [&](const HeldCall& held) {
+    return held.call.request && held.arrived_at + held.call.request->time_budget - kHeldCallMargin <= now;
+  };
+  const auto first_overdue = std::stable_partition(held_calls_.begin(), held_calls_.end(),
+                                                   [&](const HeldCall& held) { return !is_overdue(held); });
+  const std::deque<HeldCall> overdue(std::make_move_iterator(first_overdue),
+                                     std::make_move_iterator(held_calls_.end()));
+  held_calls_.erase(first_overdue, held_calls_.end());
+  for (const HeldCall& held : overdue) {
+    held_bytes_ -= held_call_size(held.call);
+    dispatch_call(held, Reason::kOutOfTime);
+  }
+  if (!overdue.empty()) update_buffered_bytes();
+}
+
 // Guards against attempts for a held call whose abort arrived during the pause and has not been read.
 void ClientConnection::catch_up() {
   if (held_calls_.empty() || closing_end_ || should_read()) return;
@@ -308,6 +338,7 @@
 // Guards against clients that occupy a descriptor to no purpose: new connections that send nothing, frames
 // that never end (single bytes now and then do not extend their time), machines that vanished.
 void ClientConnection::sweep(TimeUs now, bool has_open_requests) {
+  refuse_overdue_held_calls(now);
   if (!has_open_requests && idle() && now - last_activity_at_ > kIdleTimeout) {
     if (confirm_quiet()) close(ConnectionEnd::kIdleExpired);
     return;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -29,10 +29,10 @@
 // refused, its aborts are still acted on.
 class ClientConnection final : public ChannelHandler {
  public:
-  // Takes ownership of `fd`, a connected non-blocking socket. `is_ready` gives the answer to pings.
-  // `on_closed` is called once, when the connection closes; the owner must keep this object until the next
-  // turn.
-  ClientConnection(Context& context, core::ClientId id, int fd, ClientTotals& totals,
+  // Takes ownership of `fd`, a connected non-blocking socket. `connected_since`: the earliest time at which
+  // the client can have connected. `is_ready` gives the answer to pings. `on_closed` is called once, when the
+  // connection closes; the owner must keep this object until the next turn.
+  ClientConnection(Context& context, core::ClientId id, int fd, TimeUs connected_since, ClientTotals& totals,
                    std::function<bool()> is_ready,
                    std::function<void(core::ClientId, core::ConnectionEnd)> on_closed);
 
@@ -79,6 +79,11 @@
   void on_failure(const char* what) override;
 
  private:
+  struct HeldCall {
+    thrift::FrontCall call;
+    TimeUs arrived_at = 0;
+  };
+
   bool is_open() const { return channel_.is_open() && !lingering_; }
   void mark_answered(std::int32_t sequence);
   void close_if_answered();
@@ -86,11 +91,14 @@
   void read_available();
   void discard_input();
   void catch_up();
+  void watch_input(bool on);
   bool parse_frames(std::string_view bytes);
   void handle_call(thrift::FrontCall call);
   void handle_abort(std::int32_t sequence);
-  void dispatch_call(const thrift::FrontCall& call, Reason refusal_reason);
-  thrift::FrontCall pop_held_call();
+  void dispatch_call(const HeldCall& held, Reason refusal_reason);
+  HeldCall pop_held_call();
+  // Refuses the held calls whose clients' time is nearly over.
+  void refuse_overdue_held_calls(TimeUs now);
   bool remove_held_call(std::int32_t sequence);
   bool can_hold_more() const;
   bool reads_for_aborts() const;
@@ -111,9 +119,12 @@
   thrift::FrameReader frame_reader_;
   // The calls that a paused client has sent since, in their order. Aborts are not held, and calls beyond the
   // bounds are refused.
-  std::deque<thrift::FrontCall> held_calls_;
+  std::deque<HeldCall> held_calls_;
   std::size_t held_bytes_ = 0;
   BufferChain output_;
+  // The earliest time at which what is not read yet can have arrived; none: nothing was left unread when the
+  // input was last watched, so `Context::earliest_arrival` applies.
+  std::optional<TimeUs> unread_since_;
   TimeUs last_activity_at_ = 0;                     // monotonic time of the last byte read or written
   TimeUs frame_started_at_ = 0;                     // before the first frame: start of the connection
   std::size_t counted_bytes_ = 0;                   // this connection's part of `totals_.buffered_bytes`
--- a/src/net/context.h
+++ b/src/net/context.h
@@ -28,6 +28,9 @@
   std::vector<std::shared_ptr<void>> pending_destruction;
   // For how long (us) the event loop has been stalled so far (`StallTracker`).
   TimeUs stalled_time = 0;
+  // The earliest time at which what is read now can have arrived on a connection that was watched since the
+  // last turn and had nothing unread then (`StallTracker`).
+  TimeUs earliest_arrival = 0;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -97,6 +97,7 @@
                [this] { return under_memory_pressure(); },
                [this](core::CallId call) { return reducer_.start_denied(monotonic_now(), call); },
                {}},
+      stall_tracker_(monotonic_now()),
       reducer_(config.settings, config.seed, counters_, protocol_bounds(config)),
       engines_(context_, engine_limits(config, fleet_descriptors)),
       change_log_(
@@ -137,6 +138,7 @@
   check_wall_clock(now);
   const bool deferred = stall_tracker_.begin_turn(now);
   context_.stalled_time = stall_tracker_.stalled_time();
+  context_.earliest_arrival = stall_tracker_.earliest_arrival();
   if (deferred) return defer_turn();
   try {
     context_.pending_destruction.clear();
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -32,11 +32,13 @@
 void ClientListener::on_readable() { accept_all(); }
 
 bool ClientListener::accept_all() {
+  const TimeUs connected_since =
+      std::exchange(unaccepted_since_, std::nullopt).value_or(context_.earliest_arrival);
   while (true) {
     if (context_.under_memory_pressure() || (clients_.size() >= limits_.clients && !evict_idle_client()))
-      return pause_at_capacity();
+      return pause_at_capacity(connected_since);
     const AcceptResult accepted = accept_one(listener_.fd());
-    if (accepted.kind == AcceptResult::Kind::kNoResources) return pause_at_capacity();
+    if (accepted.kind == AcceptResult::Kind::kNoResources) return pause_at_capacity(connected_since);
     if (accepted.kind == AcceptResult::Kind::kNonePending) return true;
     ++context_.counters.accepted_connections;
     context_.counters.clients.up();
@@ -45,11 +47,13 @@
       on_client_closed(client, end);
     };
     const auto ready = [this] { return reducer_.ready(); };
-    clients_[id] = std::make_shared<ClientConnection>(context_, id, accepted.fd, totals_, ready, ended);
+    clients_[id] =
+        std::make_shared<ClientConnection>(context_, id, accepted.fd, connected_since, totals_, ready, ended);
   }
 }
 
-bool ClientListener::pause_at_capacity() {
+bool ClientListener::pause_at_capacity(TimeUs connected_since) {
+  unaccepted_since_ = connected_since;
   pause_accepting();
   return false;
 }
@@ -88,6 +92,7 @@
 void ClientListener::resume_accepting() {
   if (!paused_ || shutdown_ || context_.under_memory_pressure()) return;
   paused_ = false;
+  if (!has_input(listener_.fd())) unaccepted_since_.reset();
   listener_.want_read(true);
 }
 
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -59,7 +59,9 @@
   void on_client_closed(core::ClientId id, core::ConnectionEnd end);
   bool accept_all();         // false: connections may still be pending, there is no capacity for them
   bool evict_idle_client();  // true if a client can be accepted now
-  bool pause_at_capacity();  // always false: the result of accept_all()
+  // Always false: the result of accept_all(). `connected_since`: the earliest time at which a client that
+  // waits to be accepted can have connected.
+  bool pause_at_capacity(TimeUs connected_since);
   void close_disconnected_clients(TimeUs now);
   void end_lingering(TimeUs now);
   void end_oldest_lingering();
@@ -86,6 +88,8 @@
   TimeUs last_sweep_at_ = 0;
   TimeUs last_disconnect_check_at_ = 0;
   bool paused_ = false;  // no connections are accepted
+  // While accepting pauses, and until it has gone on: since when connections may wait for it.
+  std::optional<TimeUs> unaccepted_since_;
   std::optional<ShutdownSchedule> shutdown_;
 };
 
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -74,6 +74,11 @@
   return to_io_result(n);
 }
 
+bool has_input(int fd) {
+  pollfd poll_request{fd, POLLIN, 0};
+  return ::poll(&poll_request, 1, 0) > 0;
+}
+
 bool peer_has_closed(int fd) {
   pollfd poll_request{fd, POLLRDHUP, 0};
   return ::poll(&poll_request, 1, 0) > 0 && (poll_request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -25,6 +25,8 @@
 enum class WritePosition { kMoreMayFollow, kLast };
 IoResult write_some(int fd, std::string_view bytes, WritePosition position = WritePosition::kMoreMayFollow);
 
+// There is something to read: bytes, an end, or, at a listening socket, a connection to accept.
+bool has_input(int fd);
 // The peer has closed or reset the connection, even if bytes that it sent before are still unread.
 bool peer_has_closed(int fd);
 // Tells the peer that nothing more will be written. False if the connection is gone.
--- a/tests/integration/crossings_test.cpp
+++ b/tests/integration/crossings_test.cpp
@@ -98,6 +98,30 @@
   }
 }
 
+// Guards against an answer after its client's time: a request that came while the process stood still counted
+// its time from when it was read (review/2). One client was connected before, the other connects meanwhile.
+TEST_F(Crossing, ARequestThatCameInAStallIsAnsweredInItsClientsTime) {
+  constexpr auto kAllow = std::chrono::milliseconds(3000), kStall = std::chrono::milliseconds(1500);
+  constexpr auto kExcused = std::chrono::milliseconds(500);
+  add_engine([](const HttpCall& call) { return call.method == "DELETE" ? reply(204) : reply(202); });
+  start();
+  FrontClient before(controller->address());
+  before.ping(1);
+  ASSERT_EQ(before.receive().kind, Kind::kPong);
+  controller->signal(SIGSTOP);
+  FrontClient meanwhile(controller->address());
+  const auto sent_at = std::chrono::steady_clock::now();
+  const std::map<std::string, std::string> fields{{"allow", std::to_string(kAllow.count())}};
+  before.invoke(2, fields);
+  meanwhile.invoke(2, fields);
+  std::this_thread::sleep_for(kStall);
+  controller->signal(SIGCONT);
+  for (FrontClient* client : {&before, &meanwhile}) {
+    EXPECT_NE(client->receive().kind, Kind::kClosed);
+    EXPECT_LT(std::chrono::steady_clock::now() - sent_at, kAllow + kExcused);
+  }
+}
+
 // The engine's machine accepts no connection: the backlog is full.
 TEST_F(Crossing, ADrainToldWhileAConnectionComesUpTakesTheStartBack) {
   Poco::Net::ServerSocket slow;
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -120,6 +120,53 @@
   EXPECT_EQ(count<core::RequestAborted>(), 0U);
 }
 
+// Guards against counting a client's time from when its call is passed on: what was not read while memory was
+// short arrived earlier (review/2).
+TEST_F(FrontDoorMemory, ACallThatWasHeldOrNotReadCountsFromWhenItCanHaveArrived) {
+  open(4);
+  auto socket = client();
+  under_memory_pressure = true;
+  context.earliest_arrival = 10 * kSecond;
+  write(socket, calls_from(2));
+  ASSERT_TRUE(run_some_turns());
+  ASSERT_EQ(count<core::RequestArrived>(), 0U);
+  auto waiting = connect();  // is not accepted while memory is short
+  write(waiting, invoke(1));
+  ASSERT_TRUE(run_some_turns());
+  under_memory_pressure = false;
+  context.earliest_arrival = 20 * kSecond;
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == kManyCalls - 1; }));
+  std::set<core::ClientId> clients;
+  for (const core::RequestArrived* request : arrivals()) {
+    EXPECT_EQ(request->arrived_at, 10 * kSecond);
+    clients.insert(request->client);
+  }
+  EXPECT_EQ(clients.size(), 2U);
+}
+
+// Guards against taking a request for late because its client, or the listener, was paused some time before.
+TEST_F(FrontDoorMemory, ACallAfterAPauseDoesNotCountFromThePause) {
+  open(4);
+  auto socket = client();
+  under_memory_pressure = true;
+  context.earliest_arrival = 10 * kSecond;
+  write(socket, invoke(2));
+  auto waiting = connect();
+  ASSERT_TRUE(run_some_turns());
+  under_memory_pressure = false;
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 1; }));
+  ASSERT_TRUE(run_until([this] { return counters.accepted_connections == 2; }));
+  ASSERT_TRUE(run_some_turns());
+  context.earliest_arrival = 20 * kSecond;
+  write(socket, invoke(3));
+  write(waiting, invoke(4));
+  auto newcomer = connect();
+  write(newcomer, invoke(5));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 4; }));
+  for (const core::RequestArrived* request : arrivals())
+    EXPECT_EQ(request->arrived_at, (request->tag == 2 ? 10 : 20) * kSecond) << request->tag;
+}
+
 // The client is closed once all its requests are answered, which frees the memory.
 TEST_F(FrontDoorMemory, AClientThatReadsNothingIsClosedOnceItsRequestsAreAnswered) {
   open(4);
--- a/tests/unit/attention_test.cpp
+++ b/tests/unit/attention_test.cpp
@@ -42,5 +42,27 @@
   EXPECT_FALSE(tracker.begin_turn(1'004'001 * kMs));
 }
 
+// Guards against counting a client's time from when its request is processed: in a stall it came earlier
+// (review/2).
+TEST(StallTracker, WhatIsReadAfterALateTurnMayHaveArrivedSinceTheTurnBefore) {
+  StallTracker tracker(999'500 * kMs);
+  tracker.begin_turn(1'000'000 * kMs);
+  EXPECT_EQ(tracker.earliest_arrival(), 999'500 * kMs);  // while the program started
+  tracker.end_turn(20 * kMs);
+  tracker.begin_turn(1'000'010 * kMs);
+  tracker.end_turn(20 * kMs);
+  tracker.begin_turn(1'000'020 * kMs);
+  EXPECT_EQ(tracker.earliest_arrival(), 1'000'020 * kMs);
+  tracker.end_turn(20 * kMs);
+  tracker.begin_turn(1'001'940 * kMs);  // stalled for 1.9 s
+  EXPECT_EQ(tracker.earliest_arrival(), 1'000'020 * kMs);
+  tracker.end_turn(0);
+  tracker.begin_turn(1'001'941 * kMs);  // what the poll before the stall did not report is read now
+  EXPECT_EQ(tracker.earliest_arrival(), 1'000'020 * kMs);
+  tracker.end_turn(20 * kMs);
+  tracker.begin_turn(1'001'950 * kMs);
+  EXPECT_EQ(tracker.earliest_arrival(), 1'001'950 * kMs);
+}
+
 }  // namespace
 }  // namespace orchidgw::net
