--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -5,8 +5,6 @@
 #include <set>
 #include <utility>
 
-#include "http/change_log_calls.h"
-#include "net/answer_reader.h"
 #include "net/clock.h"
 #include "net/sockets.h"
 
@@ -19,6 +17,8 @@
 constexpr TimeUs kMaxPollTimeout = 500 * kMs, kMinPollTimeout = 100 * kMs;
 constexpr TimeUs kMaxAnswerGrace = 500 * kMs, kMinAnswerGrace = 50 * kMs;
 constexpr TimeUs kMaxBehindTime = 10'000 * kMs;  // an event reaches the log within 7 s
+constexpr TimeUs kMaxAnswerTime =
+    7'000 * kMs;  // of an overdue answer; what the log tells counts as told then
 constexpr TimeUs kInitialBackoff = 50 * kMs, kMaxBackoff = 250 * kMs;
 
 // `tenths` tenths of the drain grace, within bounds. A watch can stop answering without an error, and the
@@ -41,9 +41,7 @@
       max_backoff_(fraction_of(options.rules.drain_grace, 3, kInitialBackoff, kMaxBackoff)),
       jitter_random_(static_cast<std::minstd_rand::result_type>(options.seed)),
       starts_(options.rules),
-      parser_(options.answer_bytes),
-      unsent_(context.pool),
-      body_(context.pool) {
+      max_answer_bytes_(options.answer_bytes) {
   post_changes(known, true);
 }
 
@@ -80,85 +78,67 @@
 }
 
 void ChangeLog::check(TimeUs now) {
-  if (now < next_due()) return;
-  if (state_ == State::kClosed) return connect(now);
-  end(state_ == State::kConnecting ? ConnectionEnd::kConnectTimeout : ConnectionEnd::kSilent);
+  const TimeUs awake_now = now - context_.stalled_time;
+  if (overdue_ && awake_now >= overdue_until_) end_overdue(ConnectionEnd::kSilent);
+  if (awake_now < due_) return;
+  if (!current_) return connect(now);
+  if (current_->connecting()) return end_current(ConnectionEnd::kConnectTimeout);
+  if (overdue_) return end_current(ConnectionEnd::kSilent);
+  keep_as_overdue();
 }
 
 // Guards against waiting on the old address, which keeps its connections open for a while without sending any
 // further events.
 void ChangeLog::change_address(core::Address address, const config::EngineListEvents& known) {
-  end(ConnectionEnd::kAddressChanged);
+  end_overdue(ConnectionEnd::kAddressChanged);
+  end_current(ConnectionEnd::kAddressChanged);
   address_ = std::move(address);
   post_changes(known, false);
   last_backoff_ = 0;
   set_due(monotonic_now());
 }
 
+void ChangeLog::close() {
+  end_overdue(ConnectionEnd::kShutDown);
+  end_current(ConnectionEnd::kShutDown);
+}
+
 void ChangeLog::connect(TimeUs now) {
   const ConnectResult connecting = begin_connect(address_);
-  if (connecting.fd < 0) return end(connecting.end);
-  channel_ = std::make_unique<Channel>(context_.reactor, connecting.fd, *this);
-  channel_->want_write(true);
-  state_ = State::kConnecting;
+  if (connecting.fd < 0) return end_current(connecting.end);
+  current_ =
+      std::make_unique<ChangeLogConnection>(context_, *this, connecting.fd, address_, max_answer_bytes_);
   set_due(now + connect_timeout_);
 }
 
-void ChangeLog::send_poll(TimeUs now) {
-  state_ = State::kAwaitingAnswer;
-  set_due(now + poll_timeout_ + answer_grace_);
-  parser_.reset();
-  body_.clear();
-  unsent_.append(http::write_changes_call(address_, last_number_, poll_timeout_));
-  ++context_.counters.change_log_calls;
-  flush();
-}
-
-void ChangeLog::flush() {
-  if (!write_chain(channel_->fd(), unsent_, context_.counters.change_log_bytes_out))
-    return end(ConnectionEnd::kResetUnsent);
-  channel_->want_write(!unsent_.empty());
-}
+void ChangeLog::on_connected(ChangeLogConnection& connection) { send_poll(connection); }
 
-void ChangeLog::on_writable() {
-  if (state_ == State::kAwaitingAnswer) return flush();
-  ConnectionEnd end_reason = ConnectionEnd::kUnreachable;
-  if (!connect_succeeded(channel_->fd(), end_reason)) return end(end_reason);
-  channel_->want_read(true);
-  send_poll(monotonic_now());
-}
-
-void ChangeLog::on_error() {
-  if (state_ == State::kConnecting) return on_writable();
-  on_readable();
-}
-
-void ChangeLog::on_readable() {
-  BufferChain in(context_.pool);
-  const std::span<char> free_space = in.writable_span();
-  const IoResult io_result = read_some(channel_->fd(), free_space);
-  if (io_result.kind == IoResult::Kind::kWouldBlock) return;
-  if (io_result.kind != IoResult::Kind::kBytes)
-    return end(end_with_incomplete_answer(parser_, io_result.kind == IoResult::Kind::kReset));
-  context_.counters.change_log_bytes_in += io_result.bytes;
-  if (!read_bytes({free_space.data(), io_result.bytes})) end(ConnectionEnd::kUnreadable);
+void ChangeLog::send_poll(ChangeLogConnection& connection) {
+  const TimeUs now = monotonic_now();
+  if (&connection == overdue_.get()) {
+    overdue_until_ = now + kMaxAnswerTime - context_.stalled_time;
+  } else {
+    set_due(now + poll_timeout_ + answer_grace_);
+  }
+  connection.send_poll(last_number_, poll_timeout_);
 }
 
-// False if the bytes are not a valid answer.
-bool ChangeLog::read_bytes(std::string_view bytes) {
-  using Result = http::ResponseParser::Result;
-  const Result result =
-      parse_answer_bytes(parser_, bytes, [this](std::string_view piece) { body_.append(piece); });
-  if (result != Result::kDone) return result == Result::kNeedMore;
-  return bytes.empty() && on_complete_answer();
+// The answer is still read if it comes, and the connection goes on as the overdue one: a log that answered
+// late once may do so again.
+void ChangeLog::keep_as_overdue() {
+  ++context_.counters.change_log_overdue;
+  context_.log.write(log::Level::kDebug, log::Component::kNet, "change log answer overdue: polling anew");
+  overdue_ = std::move(current_);
+  overdue_until_ = monotonic_now() + kMaxAnswerTime - context_.stalled_time;
+  set_due(monotonic_now() + next_backoff());
 }
 
 // True if the log has lost its events and restarted its numbering; the next poll then requests the full list.
 // Guards against waiting for events after a number that such a log will not reach for a long time. The log
 // has to be behind for longer than one that is merely late, whose older list must not replace what the
 // configuration has told since. The last good list stays in use until then.
-bool ChangeLog::detect_log_reset(const config::EngineListEvents& changes) {
-  if (changes.last == 0 || changes.last >= last_number_) {
+bool ChangeLog::detect_log_reset(const config::EngineListEvents& changes, std::uint64_t since) {
+  if (changes.last == 0 || changes.last >= since) {
     behind_since_ = 0;
     return false;
   }
@@ -171,42 +151,49 @@
   return true;
 }
 
-bool ChangeLog::on_complete_answer() {
-  if (parser_.head().status != 200) return false;
+bool ChangeLog::on_answer(ChangeLogConnection& connection) {
   try {
-    const config::EngineListEvents changes = config::parse_engine_list_events(body_.text());
-    if (detect_log_reset(changes)) return false;
+    const config::EngineListEvents changes = config::parse_engine_list_events(connection.answer_text());
+    if (detect_log_reset(changes, connection.since())) return false;
     post_changes(changes, false);
   } catch (const std::exception& e) {
     context_.log.write(log::Level::kWarn, std::string("change log: ") + e.what());
     return false;
   }
-  last_backoff_ = 0;
-  if (!parser_.head().keep_alive) {
-    end(ConnectionEnd::kClosedIdle);
+  if (&connection == current_.get()) {  // the log answers in time (again)
+    last_backoff_ = 0;
+    end_overdue(ConnectionEnd::kSilent);
+  }
+  if (connection.keep_alive()) {
+    send_poll(connection);
   } else {
-    send_poll(monotonic_now());
+    on_end(connection, ConnectionEnd::kClosedIdle);
   }
   return true;
 }
 
-void ChangeLog::on_failure(const char* what) {
-  context_.log.write(log::Level::kError, std::string("change log: ") + what);
-  end(ConnectionEnd::kUnreadable);
+void ChangeLog::on_end(ChangeLogConnection& connection, ConnectionEnd end) {
+  if (&connection == overdue_.get()) return end_overdue(end);
+  if (&connection == current_.get()) end_current(end);
 }
 
-void ChangeLog::end(ConnectionEnd end) {
+void ChangeLog::end_current(ConnectionEnd end) {
+  discard(std::move(current_), end);
+  set_due(monotonic_now() + next_backoff());
+}
+
+void ChangeLog::end_overdue(ConnectionEnd end) {
+  if (overdue_) discard(std::move(overdue_), end);
+}
+
+// `connection` may be null: no connection could be begun.
+void ChangeLog::discard(Connection connection, ConnectionEnd end) {
   ++context_.counters.change_log_ends[static_cast<std::size_t>(end)];
   context_.log.write(log::Level::kDebug, log::Component::kNet, "change log connection ended",
                      {{"end", name_of(end)}});
-  if (channel_) {
-    channel_->close();
-    context_.pending_destruction.push_back(std::shared_ptr<Channel>(std::move(channel_)));
-  }
-  unsent_.clear();
-  body_.clear();
-  state_ = State::kClosed;
-  set_due(monotonic_now() + next_backoff());
+  if (!connection) return;
+  connection->close();
+  context_.pending_destruction.push_back(std::shared_ptr<ChangeLogConnection>(std::move(connection)));
 }
 
 // Exponential, with jitter. Guards against controllers that all lost the log at the same moment and call it
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -480,10 +480,10 @@
 
 // Descriptors of connections, plus those that are always open.
 void Controller::count_descriptors() {
-  // Standard streams, listener, epoll, signals, ticker, change log.
-  constexpr std::uint64_t kFixedDescriptors = 8;
+  // Standard streams, listener, epoll, signals, ticker.
+  constexpr std::uint64_t kFixedDescriptors = 7;
   counters_.descriptors.set(counters_.clients.now + client_listener_.lingering() +
-                            counters_.engine_connections.now + kFixedDescriptors +
+                            counters_.engine_connections.now + kFixedDescriptors + change_log_.connections() +
                             (fleet_ ? fleet_->connections() : 0));
 }
 
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -321,6 +321,34 @@
   EXPECT_EQ(engines[0]->count("POST"), 0);
 }
 
+// Guards against a drain that is never heard: each poll was given up after a fixed time, so no answer was
+// read from a log that always takes longer (review/3). A log that is silent instead is asked on another
+// connection meanwhile (AChangeLogThatFallsSilentIsAskedAnew).
+TEST_F(Running, ADrainIsHeardFromAChangeLogThatAlwaysAnswersLate) {
+  constexpr auto kLate = std::chrono::milliseconds(1500);
+  add_engine(serve_all);
+  add_engine(serve_all);
+  std::atomic<bool> drains{false};
+  const std::string drained = member_json("s-0", engines[0]->address(), "terminating");
+  HttpStandIn late([&, drained, kLate](const HttpCall& call) {
+    const bool told = drains;
+    std::this_thread::sleep_for(kLate);
+    if (!told || call.path.find("since=1&") == std::string::npos)
+      return reply(200, {}, R"({"seq":)" + std::string(told ? "2" : "1") + R"(,"results":[]})");
+    return reply(200, {}, R"({"seq":2,"results":[{"seq":2,"fleet":{"members":[)" + drained + "]}}]}");
+  });
+  options.change_log = late.address();
+  start();
+  int polls = 0;
+  ASSERT_TRUE(late.wait_for([&polls](const HttpCall&) { return ++polls > 1; }));  // the first is overdue
+  drains = true;
+  const auto told_at = std::chrono::steady_clock::now();
+  ASSERT_TRUE(controller->wait_for_counter("list.changes", 2));
+  EXPECT_LT(std::chrono::steady_clock::now() - told_at, std::chrono::seconds(7));  // counts as told by then
+  EXPECT_EQ(ask().kind, Kind::kServed);
+  EXPECT_EQ(engines[0]->count("POST"), 0);
+}
+
 // A machine that has vanished: its address neither accepts nor refuses connections.
 TEST_F(Running, AnEngineWhoseConnectionsNeverComeUpIsLeftForAnother) {
   Poco::Net::ServerSocket vanished;
