Test: a held call is refused before its client's time is over

Cause: the refusal of overdue held calls came with without a test of its own. Change: FrontDoorMemory.AHeldCallIsRefusedBeforeItsClientsTimeIsOver.

--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -2,6 +2,7 @@
 #include <set>
 #include <vector>
 
+#include "front_client.h"
 #include "front_door_fixture.h"
 
 namespace orchidgw::integration {
@@ -144,6 +145,23 @@
   EXPECT_EQ(clients.size(), 2U);
 }
 
+// Guards against a call that is held past its client's time, because memory stays short.
+TEST_F(FrontDoorMemory, AHeldCallIsRefusedBeforeItsClientsTimeIsOver) {
+  constexpr TimeUs kAllow = kSecond;
+  open(4);
+  FrontClient client(address.toString());
+  ASSERT_TRUE(run_until([this] { return counters.accepted_connections == 1; }));
+  under_memory_pressure = true;
+  const TimeUs sent_at = net::monotonic_now();
+  context.earliest_arrival = sent_at;
+  client.invoke(2, {{"allow", std::to_string(kAllow / 1000)}});
+  ASSERT_TRUE(run_some_turns());
+  EXPECT_EQ(count<core::RequestArrived>(), 0U);
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 1; }));
+  EXPECT_EQ(arrivals().back()->refusal_reason, Reason::kOutOfTime);
+  EXPECT_LT(net::monotonic_now() - sent_at, kAllow);
+}
+
 // Guards against taking a request for late because its client, or the listener, was paused some time before.
 TEST_F(FrontDoorMemory, ACallAfterAPauseDoesNotCountFromThePause) {
   open(4);
