Refusals after a query's own attempts stay allowed; only an earlier try's window denies them

Cause: denied a refusal from the end of the window on after the query's own attempts too. The tests are unchanged. Change: EarlierAttempt says whether it is of an earlier try; for those alone the window counts.

--- a/src/decision/key_starts.h
+++ b/src/decision/key_starts.h
@@ -45,7 +45,7 @@
       if (earliest == nullptr || start.sent_at < earliest->sent_at) earliest = &start;
     }
     if (earliest == nullptr) return std::nullopt;
-    return EarlierAttempt{earliest->sent_at, false, true, earliest->zone, earliest->cell, false};
+    return EarlierAttempt{earliest->sent_at, false, true, earliest->zone, earliest->cell, false, true};
   }
 
   // Nullopt: no start may have run.
--- a/src/decision/permission.cpp
+++ b/src/decision/permission.cpp
@@ -15,8 +15,9 @@
 
 bool refusal_is_safe(const ClassSettings& query_class, const EarlierAttempt& earlier, TimeUs now) {
   if (query_class.effect == Effect::kIdempotent) return true;
-  return query_class.effect == Effect::kDeduplicated && query_class.repeat_scope == RepeatScope::kAll &&
-         now < earlier.sent_at + query_class.repeat_window;
+  if (query_class.effect != Effect::kDeduplicated || query_class.repeat_scope != RepeatScope::kAll)
+    return false;
+  return !earlier.of_earlier_try || now < earlier.sent_at + query_class.repeat_window;
 }
 
 AttemptCounts count_attempts(std::span<const EarlierAttempt> attempts) {
--- a/src/decision/permission.h
+++ b/src/decision/permission.h
@@ -39,7 +39,8 @@
   bool may_have_run = false;  // nothing proves that it did not
   std::string_view zone;      // of its engine, as is the cell
   int cell = 0;
-  bool unsent = false;  // ended without a byte of it having been sent
+  bool unsent = false;          // ended without a byte of it having been sent
+  bool of_earlier_try = false;  // by another query under the same idempotency key
 };
 
 // Whether an attempt that ended so was never sent, not even in part.
@@ -68,7 +69,7 @@
 TimeUs repeat_window_end(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier);
 
 // Why a query may not be refused after `earlier`; kNone: it may. A refusal tells the client that it is safe
-// to send the query again, which is untrue once engines may no longer recognise the repeat.
+// to send the query again. After an earlier try's window no further try would be started.
 Denial refusal_denied(const ClassSettings& query_class, const EarlierAttempt& earlier, TimeUs now);
 Denial refusal_denied(const ClassSettings& query_class, std::span<const EarlierAttempt> earlier, TimeUs now);
 
