--- a/review/stand_ins_2/long_answer.cpp
+++ b/review/stand_ins_2/long_answer.cpp
@@ -1,4 +1,4 @@
-// Case 9: discovery is down while a release replaces six in ten of 3,200 executors.
+// Case 7: discovery is down while a release replaces six in ten of 3,200 executors.
 #include <sys/epoll.h>
 #include <sys/resource.h>
 
--- a/review/stand_ins_2/moved_log.cpp
+++ b/review/stand_ins_2/moved_log.cpp
@@ -1,4 +1,4 @@
-// Case 8: the change log moves by SIGHUP while the operators' file of limits has a mistake.
+// Case 9: the change log moves by SIGHUP while the operators' file of limits has a mistake.
 #include "rig.h"
 
 using namespace rig;
--- a/review/stand_ins_2/stall_and_drain.cpp
+++ b/review/stand_ins_2/stall_and_drain.cpp
@@ -1,4 +1,4 @@
-// Case 7: the controller stands still for 1.8 s while the change log tells that an executor drains.
+// Case 8: the controller stands still for 1.8 s while the change log tells that an executor drains.
 #include "rig.h"
 
 using namespace rig;
