--- a/src/core/events.h
+++ b/src/core/events.h
@@ -53,6 +53,7 @@
   // The earliest time at which it can have arrived; its client's time counts from then. 0: when the event is
   // processed.
   TimeUs arrived_at = 0;
+  bool discarded = false;  // there is no request because it was not kept for want of memory
 };
 
 struct RequestAborted {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -85,6 +85,7 @@
     ++counters_.rejected;
     emit(AnswerFailed{event.client, event.tag, why, true});
   };
+  if (event.discarded) return fail_discarded(event);
   if (!event.request) return unusable(event.why);
   const auto known = class_indexes_.find(event.request->class_name);
   if (known == class_indexes_.end()) return unusable("unknown class");
@@ -95,6 +96,14 @@
   accept_request(event, known->second);
 }
 
+// The request is failed and not refused, because its key is not known: an earlier try under it may have run.
+void Reducer::fail_discarded(const RequestArrived& event) {
+  ++counters_.accepted_queries;
+  ++counters_.failed;
+  ++counters_.discarded;
+  emit(AnswerFailed{event.client, event.tag, "no memory for the request", false});
+}
+
 // Finds requests that no engine can run: an engine answers them with an error, which says nothing about the
 // engine but would count against it. Also finds a second open query under the same reference, since giving up
 // one of the two would end the other at the engine.
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -166,6 +166,7 @@
   // Why a request of that class can't be accepted; empty if it can.
   std::string validation_error(const ClientRequest& request, const ClassSettings& query_class) const;
   void accept_request(RequestArrived& event, int class_index);
+  void fail_discarded(const RequestArrived& event);
   void apply_verdict(QueryId id, const limits::Verdict& verdict);
   void pass_to_module(QueryId id);
   // False: the request has its answer, as an earlier try may have run and it is too late to repeat it, or as
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -35,6 +35,7 @@
   print_line(out, "queries.refused", counters.refused);
   print_line(out, "queries.failed", counters.failed);
   print_line(out, "queries.rejected", counters.rejected);
+  print_line(out, "queries.discarded", counters.discarded);
   print_line(out, "queries.aborted", counters.aborted);
   print_line(out, "queries.open", counters.open_queries);
   print_line(out, "queries.waiting", counters.waiting_queries);
@@ -90,6 +91,7 @@
   print_line(out, "loop.late_turns", counters.late_turns);
   print_line(out, "loop.reads_paused", counters.reads_paused);
   print_line(out, "loop.accepts_paused", counters.accepts_paused);
+  print_line(out, "clients.frames_discarded", counters.frames_discarded);
   print_line(out, "loop.timer_lateness", counters.timer_lateness);
   print_line(out, "loop.turn_length", counters.turn_length);
   print_line(out, "loop.read_lateness", counters.read_lateness);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -54,8 +54,9 @@
   std::uint64_t served = 0;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
-  std::uint64_t rejected = 0;  // could not be accepted: answered on the protocol level only
-  std::uint64_t aborted = 0;   // aborted by the client, or the client disconnected
+  std::uint64_t rejected = 0;   // could not be accepted: answered on the protocol level only
+  std::uint64_t discarded = 0;  // failed because no memory was left to keep them while they arrived
+  std::uint64_t aborted = 0;    // aborted by the client, or the client disconnected
   Gauge open_queries;
   Gauge waiting_queries;                               // in a queue of the operators' limits
   std::array<std::uint64_t, kReasonCount> refusals{};  // by reason
@@ -110,6 +111,7 @@
   std::uint64_t turns = 0;
   std::uint64_t late_turns = 0;  // left their work to the next one, which comes once the sockets were read
   std::uint64_t reads_paused = 0;
+  std::uint64_t frames_discarded = 0;  // unfinished frames of clients whose bodies were discarded
   std::uint64_t accepts_paused = 0;
   DurationStats timer_lateness;
   DurationStats turn_length;    // from the start of a turn to its end
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -52,14 +52,12 @@
 }  // namespace
 
 ClientConnection::ClientConnection(Context& context, core::ClientId id, int fd, TimeUs connected_since,
-                                   ClientTotals& totals, std::function<bool()> is_ready,
-                                   std::function<void(core::ClientId, ConnectionEnd)> on_closed)
+                                   ClientTotals& totals, Owner& owner)
     : context_(context),
       id_(id),
       channel_(context.reactor, fd, *this),
       totals_(totals),
-      is_ready_(std::move(is_ready)),
-      on_closed_(std::move(on_closed)),
+      owner_(owner),
       frame_reader_(kMaxFrameBytes),
       output_(context.pool),
       last_activity_at_(monotonic_now()),
@@ -92,7 +90,7 @@
     if (!parse_frames({writable_span.data(), io_result.bytes}))
       return close_when_answered(ConnectionEnd::kUnreadable);
     if (!is_open() || closing_end_) return;
-    if (!update_buffered_bytes()) return close_when_answered(ConnectionEnd::kLimitExceeded);
+    update_buffered_bytes();
     if (io_result.bytes < writable_span.size()) return unread_since_.reset();
   }
   if (!has_input(channel_.fd())) unread_since_.reset();
@@ -104,12 +102,28 @@
   channel_.want_read(on);
 }
 
-// Guards against memory filled with unfinished frames: a client that exceeds the common bound is closed.
-bool ClientConnection::update_buffered_bytes() {
+void ClientConnection::count_buffered_bytes() {
   totals_.buffered_bytes -= counted_bytes_;
   counted_bytes_ = frame_reader_.buffered_bytes() + held_bytes_;
   totals_.buffered_bytes += counted_bytes_;
-  return counted_bytes_ == 0 || totals_.buffered_bytes <= totals_.max_buffered_bytes;
+}
+
+// Guards against memory filled with unfinished frames. The client that passes the common bound need not be
+// the one that filled it, so the owner chooses whose frame is discarded.
+void ClientConnection::update_buffered_bytes() {
+  count_buffered_bytes();
+  if (totals_.buffered_bytes > totals_.max_buffered_bytes) owner_.on_buffered_bytes_exceeded();
+}
+
+std::size_t ClientConnection::discardable_bytes() const {
+  const std::size_t bytes = frame_reader_.buffered_bytes();
+  return bytes > thrift::kFramePrefixBytes ? bytes - thrift::kFramePrefixBytes : 0;
+}
+
+void ClientConnection::discard_frame() {
+  frame_reader_.discard_body();
+  ++context_.counters.frames_discarded;
+  count_buffered_bytes();
 }
 
 bool ClientConnection::parse_frames(std::string_view bytes) {
@@ -118,7 +132,8 @@
     const auto result = frame_reader_.feed(bytes);
     if (result == thrift::FrameReader::Result::kBroken) return false;
     if (result == thrift::FrameReader::Result::kNeedMore) return true;
-    auto call = thrift::read_call(frame_reader_.frame());
+    auto call = frame_reader_.body_discarded() ? thrift::read_call_prefix(frame_reader_.frame())
+                                               : thrift::read_call(frame_reader_.frame());
     has_sent_message_ = true;
     if (!call) return false;
     handle_call(std::move(*call));
@@ -133,7 +148,7 @@
 void ClientConnection::handle_call(thrift::FrontCall call) {
   if (call.kind == thrift::FrontCall::Kind::kAbort) return handle_abort(call.aborted_sequence);
   HeldCall arrived{std::move(call), unread_since_.value_or(context_.earliest_arrival)};
-  if (!paused_) return dispatch_call(arrived, Reason::kNone);
+  if (!paused_ || arrived.call.body_discarded) return dispatch_call(arrived, Reason::kNone);
   if (!can_hold_more() && reads_for_aborts()) return dispatch_call(arrived, Reason::kBacklog);
   held_bytes_ += held_call_size(arrived.call);
   held_calls_.push_back(std::move(arrived));
@@ -170,11 +185,12 @@
   const thrift::FrontCall& call = held.call;
   if (!call.wants_answer) return;  // a client would not understand an answer to a oneway message
   if (call.kind == Kind::kPing) {
-    send(thrift::pong(call.sequence, is_ready_()));
+    send(thrift::pong(call.sequence, owner_.is_ready()));
   } else if (call.kind == Kind::kInvoke) {
     unanswered_.insert(call.sequence);
     context_.post(core::RequestArrived{id_, call.sequence, call.request, call.why,
-                                       draining_ ? Reason::kShutDown : refusal_reason, held.arrived_at});
+                                       draining_ ? Reason::kShutDown : refusal_reason, held.arrived_at,
+                                       call.body_discarded});
   } else {
     const auto error = thrift::ApplicationError::kUnknownMethod;
     send(thrift::application_exception(call.name, call.sequence, error, "unknown method"));
@@ -422,7 +438,7 @@
   unanswered_.clear();
   totals_.buffered_bytes -= std::exchange(counted_bytes_, 0);
   if (std::exchange(paused_, false)) --totals_.paused_clients;
-  on_closed_(id_, end);
+  owner_.on_client_closed(id_, end);
 }
 
 }  // namespace orchidgw::net
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <deque>
-#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,12 +28,20 @@
 // refused, its aborts are still acted on.
 class ClientConnection final : public ChannelHandler {
  public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual bool is_ready() const = 0;  // the answer to pings
+    // `ClientTotals::buffered_bytes` is over its limit: the owner discards frames.
+    virtual void on_buffered_bytes_exceeded() = 0;
+    // Called once, when the connection closes; the owner must keep the connection until the next turn.
+    virtual void on_client_closed(core::ClientId id, core::ConnectionEnd end) = 0;
+  };
+
   // Takes ownership of `fd`, a connected non-blocking socket. `connected_since`: the earliest time at which
-  // the client can have connected. `is_ready` gives the answer to pings. `on_closed` is called once, when the
-  // connection closes; the owner must keep this object until the next turn.
+  // the client can have connected.
   ClientConnection(Context& context, core::ClientId id, int fd, TimeUs connected_since, ClientTotals& totals,
-                   std::function<bool()> is_ready,
-                   std::function<void(core::ClientId, core::ConnectionEnd)> on_closed);
+                   Owner& owner);
 
   // Each sends one answer. The pages of a served one are moved out of it.
   void answer(core::AnswerServed& served);
@@ -60,6 +67,10 @@
   // The connection has been quiet for long enough that none of its bytes can be on the way.
   bool has_nothing_in_transit(TimeUs now) const;
   std::size_t unsent_bytes() const { return output_.size(); }
+  // Bytes of memory that discard_frame() would free.
+  std::size_t discardable_bytes() const;
+  // Frees the memory of the unfinished frame. Its request is failed once its last byte is read.
+  void discard_frame();
   // Reports the end to the owner at once. Where the client may not know of it yet, the socket lingers.
   void close(core::ConnectionEnd end);
   // Stops reading, and closes once each request that was read has its answer and that is written.
@@ -103,7 +114,8 @@
   bool can_hold_more() const;
   bool reads_for_aborts() const;
   bool should_read() const { return !paused_ || can_hold_more() || reads_for_aborts(); }
-  bool update_buffered_bytes();
+  void count_buffered_bytes();
+  void update_buffered_bytes();
   void count_invalid_request();
   void send(std::string_view bytes);
   void flush();
@@ -114,8 +126,7 @@
   core::ClientId id_;
   Channel channel_;
   ClientTotals& totals_;
-  std::function<bool()> is_ready_;
-  std::function<void(core::ClientId, core::ConnectionEnd)> on_closed_;
+  Owner& owner_;
   thrift::FrameReader frame_reader_;
   // The calls that a paused client has sent since, in their order. Aborts are not held, and calls beyond the
   // bounds are refused.
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -43,12 +43,9 @@
     ++context_.counters.accepted_connections;
     context_.counters.clients.up();
     const core::ClientId id = ++last_id_;
-    const auto ended = [this](core::ClientId client, core::ConnectionEnd end) {
-      on_client_closed(client, end);
-    };
-    const auto ready = [this] { return reducer_.ready(); };
+    ClientConnection::Owner& owner = *this;
     clients_[id] =
-        std::make_shared<ClientConnection>(context_, id, accepted.fd, connected_since, totals_, ready, ended);
+        std::make_shared<ClientConnection>(context_, id, accepted.fd, connected_since, totals_, owner);
   }
 }
 
@@ -114,6 +111,29 @@
   resume_accepting();
 }
 
+void ClientListener::on_buffered_bytes_exceeded() {
+  const TimeUs now = monotonic_now();
+  while (totals_.buffered_bytes > totals_.max_buffered_bytes) {
+    const std::shared_ptr<ClientConnection> client = find_frame_to_discard(now);
+    if (!client) return;
+    client->discard_frame();
+  }
+}
+
+// Guards against clients that fill the bound with frames which they don't finish, at the cost of the others:
+// of the frames that have come to a halt the largest goes first, then the largest of the others.
+std::shared_ptr<ClientConnection> ClientListener::find_frame_to_discard(TimeUs now) const {
+  std::shared_ptr<ClientConnection> candidate;
+  const auto rank = [now](const ClientConnection& client) {
+    return std::pair(client.has_nothing_in_transit(now), client.discardable_bytes());
+  };
+  for (const auto& [id, client] : clients_) {
+    if (client->discardable_bytes() == 0) continue;
+    if (!candidate || rank(*client) > rank(*candidate)) candidate = client;
+  }
+  return candidate;
+}
+
 // Guards against clients that request much and read nothing: their unread answers could use all memory. A
 // client with an open request is not closed until the request has its answer, by its deadline at the latest:
 // closing it would leave the request without one. The memory used meanwhile is bounded by the open requests,
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -21,7 +21,7 @@
   std::size_t frame_bytes = 0;  // maximum bytes of the unfinished frames and held calls of all clients
 };
 
-class ClientListener final : public ChannelHandler {
+class ClientListener final : public ChannelHandler, private ClientConnection::Owner {
  public:
   // Takes ownership of `listener`, a listening, non-blocking socket. `context` and `reducer` must outlive
   // this object.
@@ -56,7 +56,10 @@
   void on_failure(const char* what) override;
 
  private:
-  void on_client_closed(core::ClientId id, core::ConnectionEnd end);
+  bool is_ready() const override { return reducer_.ready(); }
+  void on_buffered_bytes_exceeded() override;
+  void on_client_closed(core::ClientId id, core::ConnectionEnd end) override;
+  std::shared_ptr<ClientConnection> find_frame_to_discard(TimeUs now) const;
   bool accept_all();         // false: connections may still be pending, there is no capacity for them
   bool evict_idle_client();  // true if a client can be accepted now
   // Always false: the result of accept_all(). `connected_since`: the earliest time at which a client that
--- a/src/thrift/frame_reader.cpp
+++ b/src/thrift/frame_reader.cpp
@@ -16,6 +16,8 @@
     complete_ = false;
     length_bytes_ = 0;
     length_ = 0;
+    received_bytes_ = 0;
+    discarding_ = false;
     body_.clear();
     if (body_.capacity() > kMaxKeptCapacity) body_.shrink_to_fit();
   }
@@ -26,12 +28,20 @@
     ++length_bytes_;
   }
   if (length_ == 0 || length_ > max_bytes_) return Result::kBroken;  // a negative length reads as a huge one
-  const std::size_t n = std::min<std::size_t>(bytes.size(), length_ - body_.size());
-  body_.append(bytes.substr(0, n));
+  const std::size_t n = std::min<std::size_t>(bytes.size(), length_ - received_bytes_);
+  const std::size_t room = discarding_ ? kFramePrefixBytes - std::min(body_.size(), kFramePrefixBytes) : n;
+  body_.append(bytes.substr(0, std::min(n, room)));
+  received_bytes_ += n;
   bytes.remove_prefix(n);
-  if (body_.size() < length_) return Result::kNeedMore;
+  if (received_bytes_ < length_) return Result::kNeedMore;
   complete_ = true;
   return Result::kFrame;
 }
 
+void FrameReader::discard_body() {
+  if (!in_frame()) return;
+  discarding_ = true;
+  if (body_.capacity() > kFramePrefixBytes) body_ = std::string(body_, 0, kFramePrefixBytes);
+}
+
 }  // namespace orchidgw::thrift
--- a/src/thrift/frame_reader.h
+++ b/src/thrift/frame_reader.h
@@ -7,6 +7,9 @@
 
 namespace orchidgw::thrift {
 
+// How much of a frame is kept once its body is discarded: enough for a message's name and sequence number.
+inline constexpr std::size_t kFramePrefixBytes = 256;
+
 class FrameReader {
  public:
   // kNeedMore: more bytes are needed. kFrame: frame() is complete. kBroken: the frame is empty or too large.
@@ -18,7 +21,13 @@
   // Removes bytes from the front of `bytes` until a frame is complete or no bytes are left.
   Result feed(std::string_view& bytes);
 
-  const std::string& frame() const { return body_; }  // after kFrame, until the next feed
+  // After kFrame, until the next feed. Only its first bytes if its body was discarded.
+  const std::string& frame() const { return body_; }
+  // Frees what the incomplete frame holds beyond its first kFramePrefixBytes. Of what still arrives of it,
+  // nothing beyond them is kept either; the frame completes as usual.
+  void discard_body();
+  // The body of the frame begun, or complete, was discarded and is longer than kFramePrefixBytes.
+  bool body_discarded() const { return discarding_ && length_ > kFramePrefixBytes; }
   // Bytes of memory that an incomplete frame takes, including the spare capacity of its string.
   std::size_t buffered_bytes() const { return in_frame() ? body_.capacity() : 0; }
   // A frame has begun and is not complete.
@@ -28,7 +37,9 @@
   std::size_t max_bytes_;
   std::uint32_t length_ = 0;
   int length_bytes_ = 0;
+  std::size_t received_bytes_ = 0;  // of the frame, without its length field
   bool complete_ = false;
+  bool discarding_ = false;
   std::string body_;
 };
 
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -148,10 +148,8 @@
   writer.stop();
 }
 
-}  // namespace
-
-std::optional<FrontCall> read_call(std::string_view frame) {
-  Reader reader(frame);
+// The name, sequence number and kind of a message.
+std::optional<FrontCall> read_message_begin(Reader& reader) {
   const std::uint32_t version = reader.u32();
   if (!reader.ok() || (version & 0xffff0000U) != kVersion1) return std::nullopt;
   const auto type = static_cast<MessageType>(version & 0xffU);
@@ -161,20 +159,38 @@
   if (!reader.ok()) return std::nullopt;
   if (type != MessageType::kCall && type != MessageType::kOneway) return std::nullopt;
   call.wants_answer = type == MessageType::kCall;
-  if (call.name == "invoke") {
-    call.kind = FrontCall::Kind::kInvoke;
-    read_invoke(reader, call);
-  } else if (call.name == "abort") {
-    call.kind = FrontCall::Kind::kAbort;
-    read_abort(reader, call);
+  if (call.name == "invoke") call.kind = FrontCall::Kind::kInvoke;
+  if (call.name == "abort") call.kind = FrontCall::Kind::kAbort;
+  if (call.name == "ping") call.kind = FrontCall::Kind::kPing;
+  return call;
+}
+
+}  // namespace
+
+std::optional<FrontCall> read_call(std::string_view frame) {
+  Reader reader(frame);
+  auto call = read_message_begin(reader);
+  if (!call) return std::nullopt;
+  if (call->kind == FrontCall::Kind::kInvoke) {
+    read_invoke(reader, *call);
+  } else if (call->kind == FrontCall::Kind::kAbort) {
+    read_abort(reader, *call);
   } else {
-    call.kind = call.name == "ping" ? FrontCall::Kind::kPing : FrontCall::Kind::kUnknown;
     reader.skip(FieldType::kStruct);
   }
   if (!reader.ok()) return std::nullopt;
   return call;
 }
 
+std::optional<FrontCall> read_call_prefix(std::string_view prefix) {
+  Reader reader(prefix);
+  auto call = read_message_begin(reader);
+  if (!call) return std::nullopt;
+  if (call->kind == FrontCall::Kind::kAbort) read_abort(reader, *call);  // its number comes first
+  call->body_discarded = call->kind == FrontCall::Kind::kInvoke;
+  return call;
+}
+
 std::string served_head(std::int32_t sequence, std::size_t rows) {
   Writer writer;
   writer.message(MessageType::kReply, "invoke", sequence);
--- a/src/thrift/front.h
+++ b/src/thrift/front.h
@@ -20,11 +20,14 @@
   std::optional<core::ClientRequest> request;  // for kInvoke, if it is valid
   std::string why;                             // for kInvoke, if it is invalid: what is wrong with it
   std::int32_t aborted_sequence = 0;           // for kAbort: sequence number of the request to abort
+  bool body_discarded = false;                 // for kInvoke: the request was not kept for want of memory
 };
 
 // Decodes a frame without its length. Returns nullopt if it is malformed: the connection can't be used
 // further.
 std::optional<FrontCall> read_call(std::string_view frame);
+// The same for the first kFramePrefixBytes of a frame whose body was discarded.
+std::optional<FrontCall> read_call_prefix(std::string_view prefix);
 
 // Encode answers as complete frames. The frame of a served request is served_head(), then `rows` bytes of
 // rows, then served_tail().
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -19,6 +19,24 @@
     for (std::int32_t i = first; i < kManyCalls; ++i) all += invoke(i);
     return all;
   }
+  // The frame of a valid request, its length field included.
+  static std::string invoke_of_size(std::int32_t sequence, std::size_t bytes) {
+    using namespace apache::thrift::protocol;
+    const auto with_statement = [&](std::size_t statement_bytes) {
+      return frame([&](TBinaryProtocol& out) {
+        out.writeMessageBegin("invoke", T_CALL, sequence);
+        out.writeFieldBegin("fields", T_MAP, 1);
+        out.writeMapBegin(T_STRING, T_STRING, 3);
+        for (const char* text : {"service", "lookup", "ref", "00000000000000aa", "allow", "1000"})
+          out.writeString(std::string(text));
+        out.writeMapEnd();
+        out.writeFieldBegin("body", T_STRING, 2);
+        out.writeBinary(std::string(statement_bytes, 'x'));
+        out.writeFieldStop();
+      });
+    };
+    return with_statement(bytes - with_statement(0).size());
+  }
   void answer_with_large_result(core::RequestTag tag) {
     core::AnswerServed served;
     served.client = std::get<core::RequestArrived>(events.front()).client;
@@ -201,6 +219,40 @@
   EXPECT_FALSE(pool.over_limit());
 }
 
+// Guards against losing what a client with an open request writes, because others have filled the common
+// bound on unfinished frames (review/6). The others' requests are failed if they arrive whole after all.
+TEST_F(FrontDoorMemory, FramesOfOthersThatFillTheBoundDoNotCloseAClient) {
+  constexpr std::size_t kFrameBytes = 60'000;
+  constexpr std::size_t kSmallFrameBytes = 6'000;
+  constexpr int kClientsOfEachSize = 40;  // a multiple of what the fixture's bound holds
+  open(4 * kClientsOfEachSize);
+  auto usual = client();
+  write(usual, invoke(2));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 1; }));
+  std::vector<Poco::Net::StreamSocket> others;
+  for (const std::size_t bytes : {kFrameBytes, kSmallFrameBytes}) {
+    const std::string whole = invoke_of_size(2, bytes);
+    for (int i = 0; i < kClientsOfEachSize; ++i) {
+      others.push_back(connect());
+      write(others.back(), whole.substr(0, bytes - 1000));
+    }
+  }
+  ASSERT_TRUE(run_until([&] { return counters.accepted_connections == others.size() + 1; }));
+  ASSERT_TRUE(run_until([turns = 0]() mutable { return ++turns > 4 * kSomeTurns; }));  // the others halt
+  const std::string large = invoke_of_size(3, 12'000);
+  write(usual, large.substr(0, 7'000));
+  ASSERT_TRUE(run_some_turns());
+  write(usual, large.substr(7'000));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 2; }));
+  EXPECT_TRUE(arrivals().back()->request.has_value());
+  EXPECT_EQ(ends(core::ConnectionEnd::kLimitExceeded), 0U);
+  EXPECT_GT(counters.frames_discarded, 0U);
+  write(others.front(), invoke_of_size(2, kFrameBytes).substr(kFrameBytes - 1000));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 3; }));
+  EXPECT_TRUE(arrivals().back()->discarded);
+  EXPECT_EQ(arrivals().back()->tag, 2);
+}
+
 // Held calls would keep a client that reads nothing from ever being closed: they are refused.
 TEST_F(FrontDoorMemory, HeldCallsOfAClientThatReadsNothingAreRefusedWhenMemoryIsShort) {
   open(4);
--- a/tests/reducer/reducer_test.cpp
+++ b/tests/reducer/reducer_test.cpp
@@ -370,6 +370,15 @@
   EXPECT_EQ(calls.size(), calls_before);
 }
 
+// Guards against refusing a request whose key was not kept: an earlier try under it may have run.
+TEST_F(ReducerTest, ADiscardedRequestIsFailedAndNotRefused) {
+  start_reducer();
+  apply(RequestArrived{kClient, 1, std::nullopt, "", Reason::kNone, 0, true});
+  EXPECT_EQ(answers[1], std::vector<std::string>{"failed no memory for the request"});
+  EXPECT_TRUE(calls.empty());
+  EXPECT_EQ(reducer->queries(), 0U);
+}
+
 TEST_F(ReducerTest, WhatCannotBeUsedIsAnsweredAndNothingIsSent) {
   start_reducer();
   apply(RequestArrived{kClient, 1, std::nullopt, "ref: 16 hex digits are needed"});
--- a/tests/unit/thrift_test.cpp
+++ b/tests/unit/thrift_test.cpp
@@ -113,6 +113,27 @@
   EXPECT_FALSE(reader.in_frame());
 }
 
+TEST(FrameReader, KeepsThePrefixOfADiscardedFrameAndThenReadsOn) {
+  const std::string body = std::string(1000, 'a') + std::string(9000, 'b');
+  const std::string length{'\0', '\0', '\x27', '\x10'};  // 10,000
+  const std::string next{'\0', '\0', '\0', '\2', 'o', 'k'};
+  for (const std::size_t kept : {std::size_t{4}, std::size_t{100}, std::size_t{5000}}) {
+    FrameReader reader(20'000);
+    const std::string all = length + body + next;
+    std::string_view first = std::string_view(all).substr(0, kept);
+    EXPECT_EQ(reader.feed(first), FrameReader::Result::kNeedMore);
+    reader.discard_body();
+    EXPECT_LE(reader.buffered_bytes(), kFramePrefixBytes);
+    std::string_view rest = std::string_view(all).substr(kept);
+    ASSERT_EQ(reader.feed(rest), FrameReader::Result::kFrame);
+    EXPECT_TRUE(reader.body_discarded());
+    EXPECT_EQ(reader.frame(), body.substr(0, kFramePrefixBytes));
+    ASSERT_EQ(reader.feed(rest), FrameReader::Result::kFrame);
+    EXPECT_FALSE(reader.body_discarded());
+    EXPECT_EQ(reader.frame(), "ok");
+  }
+}
+
 TEST(FrameReader, RefusesWhatIsTooLargeNegativeOrEmpty) {
   for (const std::string& head : {std::string("\x00\x00\x00\x65", 4), std::string("\xff\xff\xff\xff", 4),
                                   std::string("\x80\x00\x00\x00", 4), std::string("\x00\x00\x00\x00", 4)}) {
