--- a/src/config/fleet_changes.cpp
+++ b/src/config/fleet_changes.cpp
@@ -12,8 +12,7 @@
 
 constexpr std::int64_t kUsPerMs = 1000;
 
-// Returns nullopt for an engine that is invalid or has a state that this version doesn't know: it is left out
-// and the other engines of the event are kept.
+// Throws FieldError if a field has a bad value.
 std::optional<core::EngineListing> read_member(const Value& member) {
   if (!member.IsObject()) return std::nullopt;
   core::EngineListing listing;
@@ -32,7 +31,24 @@
   return listing;
 }
 
-std::optional<EngineListEvent> read_change(const Value& event) {
+}  // namespace
+
+std::optional<EngineState> parse_engine_state(std::string_view word) {
+  if (word == "in_service") return EngineState::kInService;
+  if (word == "terminating") return EngineState::kDraining;
+  if (word == "terminated") return EngineState::kGone;
+  return std::nullopt;
+}
+
+std::optional<core::EngineListing> read_engine(const Value& value) {
+  try {
+    return read_member(value);
+  } catch (const FieldError&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<EngineListEvent> read_engine_list_event(const Value& event) {
   if (!event.IsObject()) return std::nullopt;
   const Value* fleet = find_member(event, "fleet");
   if (!fleet || !fleet->IsObject()) return std::nullopt;
@@ -41,25 +57,11 @@
   change.complete = bool_or(*fleet, "complete", false);
   const Value* members = find_member(*fleet, "members");
   if (!members || !members->IsArray()) return std::nullopt;
-  for (const auto& member : members->GetArray()) {
-    try {
-      if (auto listing = read_member(member)) change.engines.push_back(std::move(*listing));
-    } catch (const FieldError&) {
-      continue;
-    }
-  }
+  for (const auto& member : members->GetArray())
+    if (auto listing = read_engine(member)) change.engines.push_back(std::move(*listing));
   return change;
 }
 
-}  // namespace
-
-std::optional<EngineState> parse_engine_state(std::string_view word) {
-  if (word == "in_service") return EngineState::kInService;
-  if (word == "terminating") return EngineState::kDraining;
-  if (word == "terminated") return EngineState::kGone;
-  return std::nullopt;
-}
-
 EngineListEvents read_engine_list_events(const Value& value) {
   if (!value.IsObject()) throw_field_error("known", "an object is needed");
   EngineListEvents out;
@@ -70,15 +72,8 @@
   if (!results) return out;
   if (!results->IsArray()) throw_field_error("results", "a list is needed");
   for (const auto& event : results->GetArray())
-    if (auto change = read_change(event)) out.changes.push_back(std::move(*change));
+    if (auto change = read_engine_list_event(event)) out.changes.push_back(std::move(*change));
   return out;
 }
 
-EngineListEvents parse_engine_list_events(std::string_view text) {
-  rapidjson::Document document;
-  document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
-  if (document.HasParseError()) throw_field_error("results", "JSON is needed");
-  return read_engine_list_events(document);
-}
-
 }  // namespace orchidgw::config
--- a/src/config/fleet_changes.h
+++ b/src/config/fleet_changes.h
@@ -28,9 +28,12 @@
 // Parses the state of an engine; the change log and the simulator use the same words. nullopt: unknown word.
 std::optional<EngineState> parse_engine_state(std::string_view word);
 
-// Both throw FieldError if the input is no list of events. An invalid engine is left out; the other engines
-// of its event are kept.
+// nullopt: it is invalid or has a state that this version doesn't know.
+std::optional<core::EngineListing> read_engine(const rapidjson::Value& value);
+// nullopt: an event of another kind. Throws FieldError if a field has a bad value. Invalid engines are left
+// out; the other engines are kept.
+std::optional<EngineListEvent> read_engine_list_event(const rapidjson::Value& value);
+// Throws FieldError if the input is no list of events.
 EngineListEvents read_engine_list_events(const rapidjson::Value& value);
-EngineListEvents parse_engine_list_events(std::string_view text);
 
 }  // namespace orchidgw::config
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -105,6 +105,7 @@
   std::uint64_t list_changes = 0;
   std::uint64_t change_log_calls = 0;
   std::uint64_t change_log_overdue = 0;  // answers that were overdue, whether they came later or not
+  std::uint64_t engines_left_out = 0;    // invalid ones in answers of the change log
   std::uint64_t reloads = 0;             // SIGHUP
   std::uint64_t reloads_failed = 0;
   std::uint64_t wall_clock_steps = 0;
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -41,13 +41,18 @@
       max_backoff_(fraction_of(options.rules.drain_grace, 3, kInitialBackoff, kMaxBackoff)),
       jitter_random_(static_cast<std::minstd_rand::result_type>(options.seed)),
       starts_(options.rules),
-      max_answer_bytes_(options.answer_bytes) {
+      bounds_(options.bounds) {
   post_changes(known, true);
 }
 
 void ChangeLog::post_changes(const config::EngineListEvents& changes, bool is_initial_list) {
+  post_events(changes.changes, is_initial_list);
+  last_number_ = std::max(last_number_, changes.last);
+}
+
+void ChangeLog::post_events(const std::vector<config::EngineListEvent>& events, bool is_initial_list) {
   bool first = is_initial_list;
-  for (const auto& change : changes.changes) {
+  for (const auto& change : events) {
     // Events that the log repeats are skipped by their number.
     if (change.number <= last_number_) continue;
     last_number_ = change.number;
@@ -58,7 +63,6 @@
     first = false;
     context_.post(std::move(event));
   }
-  if (changes.last > last_number_) last_number_ = changes.last;
 }
 
 // The only place where the wall clock affects a decision: each published start time (wall clock) is converted
@@ -106,8 +110,7 @@
 void ChangeLog::connect(TimeUs now) {
   const ConnectResult connecting = begin_connect(address_);
   if (connecting.fd < 0) return end_current(connecting.end);
-  current_ =
-      std::make_unique<ChangeLogConnection>(context_, *this, connecting.fd, address_, max_answer_bytes_);
+  current_ = std::make_unique<ChangeLogConnection>(context_, *this, connecting.fd, address_, bounds_);
   set_due(now + connect_timeout_);
 }
 
@@ -137,8 +140,8 @@
 // Guards against waiting for events after a number that such a log will not reach for a long time. The log
 // has to be behind for longer than one that is merely late, whose older list must not replace what the
 // configuration has told since. The last good list stays in use until then.
-bool ChangeLog::detect_log_reset(const config::EngineListEvents& changes, std::uint64_t since) {
-  if (changes.last == 0 || changes.last >= since) {
+bool ChangeLog::detect_log_reset(std::uint64_t last, std::uint64_t since) {
+  if (last == 0 || last >= since) {
     behind_since_ = 0;
     return false;
   }
@@ -151,15 +154,13 @@
   return true;
 }
 
-bool ChangeLog::on_answer(ChangeLogConnection& connection) {
-  try {
-    const config::EngineListEvents changes = config::parse_engine_list_events(connection.answer_text());
-    if (detect_log_reset(changes, connection.since())) return false;
-    post_changes(changes, false);
-  } catch (const std::exception& e) {
-    context_.log.write(log::Level::kWarn, std::string("change log: ") + e.what());
-    return false;
-  }
+void ChangeLog::on_events(ChangeLogConnection& connection) { post_events(connection.take_events(), false); }
+
+void ChangeLog::on_answer(ChangeLogConnection& connection, std::uint64_t last) {
+  report_engines_left_out(connection);
+  const config::EngineListEvents changes{last, connection.take_events()};
+  if (detect_log_reset(last, connection.since())) return on_end(connection, ConnectionEnd::kUnreadable);
+  post_changes(changes, false);
   if (&connection == current_.get()) {  // the log answers in time (again)
     last_backoff_ = 0;
     end_overdue(ConnectionEnd::kSilent);
@@ -169,7 +170,18 @@
   } else {
     on_end(connection, ConnectionEnd::kClosedIdle);
   }
-  return true;
+}
+
+void ChangeLog::on_invalid_answer(ChangeLogConnection& connection, const std::string& why) {
+  context_.log.write(log::Level::kWarn, "change log: " + why);
+  on_end(connection, ConnectionEnd::kUnreadable);
+}
+
+void ChangeLog::report_engines_left_out(const ChangeLogConnection& connection) {
+  if (connection.engines_left_out() == 0) return;
+  context_.counters.engines_left_out += connection.engines_left_out();
+  context_.log.write(log::Level::kWarn, log::Component::kNet, "change log: invalid engines left out",
+                     {{"engines", static_cast<std::int64_t>(connection.engines_left_out())}});
 }
 
 void ChangeLog::on_end(ChangeLogConnection& connection, ConnectionEnd end) {
@@ -192,6 +204,8 @@
   context_.log.write(log::Level::kDebug, log::Component::kNet, "change log connection ended",
                      {{"end", name_of(end)}});
   if (!connection) return;
+  // Guards against asking for the same again for ever: an answer that was cut off brings the list forward.
+  post_events(connection->take_events(), false);
   connection->close();
   context_.pending_destruction.push_back(std::shared_ptr<ChangeLogConnection>(std::move(connection)));
 }
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -23,7 +23,7 @@
 namespace orchidgw::net {
 
 struct ChangeLogOptions {
-  std::size_t answer_bytes = 0;  // largest answer that is accepted
+  ChangeLogBounds bounds;
   TimeUs connect_timeout = 0;
   Rules rules;  // drain_grace: time after which an engine whose drain is in the log may get no new queries
   std::uint64_t seed = 0;  // of the backoff's jitter
@@ -49,14 +49,18 @@
   using Connection = std::unique_ptr<ChangeLogConnection>;
 
   void on_connected(ChangeLogConnection& connection) override;
-  bool on_answer(ChangeLogConnection& connection) override;
+  void on_events(ChangeLogConnection& connection) override;
+  void on_answer(ChangeLogConnection& connection, std::uint64_t last) override;
+  void on_invalid_answer(ChangeLogConnection& connection, const std::string& why) override;
   void on_end(ChangeLogConnection& connection, core::ConnectionEnd end) override;
 
   void connect(TimeUs now);
   void send_poll(ChangeLogConnection& connection);
   void keep_as_overdue();
-  bool detect_log_reset(const config::EngineListEvents& changes, std::uint64_t since);
+  bool detect_log_reset(std::uint64_t last, std::uint64_t since);
   void post_changes(const config::EngineListEvents& changes, bool is_initial_list);
+  void post_events(const std::vector<config::EngineListEvent>& events, bool is_initial_list);
+  void report_engines_left_out(const ChangeLogConnection& connection);
   void set_start_times(std::vector<core::EngineListing>& engines, bool full_list);
   void end_current(core::ConnectionEnd end);  // the next connection comes after a backoff
   void end_overdue(core::ConnectionEnd end);
@@ -75,7 +79,7 @@
   std::minstd_rand jitter_random_;
   EngineStarts starts_;
   std::uint64_t last_number_ = 0;  // of the last event that was posted
-  std::size_t max_answer_bytes_;
+  ChangeLogBounds bounds_;
   Connection current_;  // null: the next one is due
   Connection overdue_;  // its last answer, or the one that it waits for, is overdue; null: none
   // These exclude `Context::stalled_time`, the time in which this process was stalled.
--- a/src/net/change_log_connection.cpp
+++ b/src/net/change_log_connection.cpp
@@ -1,31 +1,40 @@
 #include "net/change_log_connection.h"
 
+#include <limits>
 #include <utility>
 
+#include "config/json_fields.h"
 #include "http/change_log_calls.h"
 #include "net/answer_reader.h"
 #include "net/sockets.h"
 
 namespace orchidgw::net {
 
+namespace {
+
 using core::ConnectionEnd;
 
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
 ChangeLogConnection::ChangeLogConnection(Context& context, Owner& owner, int fd, core::Address address,
-                                         std::size_t answer_bytes)
+                                         ChangeLogBounds bounds)
     : context_(context),
       owner_(owner),
       channel_(context.reactor, fd, *this),
       address_(std::move(address)),
-      parser_(answer_bytes),
-      unsent_(context.pool),
-      body_(context.pool) {
+      parser_(std::numeric_limits<std::size_t>::max()),  // what is kept of an answer is bounded by `events_`
+      max_engines_(bounds.engines),
+      events_(bounds.text_bytes),
+      unsent_(context.pool) {
   channel_.want_write(true);
 }
 
 void ChangeLogConnection::send_poll(std::uint64_t since, TimeUs timeout) {
   since_ = since;
   parser_.reset();
-  body_.clear();
+  events_.reset();
   unsent_.append(http::write_changes_call(address_, since, timeout));
   ++context_.counters.change_log_calls;
   flush();
@@ -34,7 +43,6 @@
 void ChangeLogConnection::close() {
   channel_.close();
   unsent_.clear();
-  body_.clear();
 }
 
 void ChangeLogConnection::flush() {
@@ -66,15 +74,33 @@
     return owner_.on_end(*this,
                          end_with_incomplete_answer(parser_, io_result.kind == IoResult::Kind::kReset));
   context_.counters.change_log_bytes_in += io_result.bytes;
-  if (!read_bytes({free_space.data(), io_result.bytes})) owner_.on_end(*this, ConnectionEnd::kUnreadable);
+  read_bytes({free_space.data(), io_result.bytes});
+}
+
+void ChangeLogConnection::read_bytes(std::string_view bytes) {
+  std::uint64_t last = 0;
+  try {
+    if (!answer_complete(bytes)) {
+      if (events_.engines_in_events() > max_engines_) owner_.on_events(*this);
+      return;
+    }
+    last = events_.finish();
+  } catch (const config::FieldError& e) {
+    return owner_.on_invalid_answer(*this, e.what());
+  }
+  owner_.on_answer(*this, last);
 }
 
-bool ChangeLogConnection::read_bytes(std::string_view bytes) {
+bool ChangeLogConnection::answer_complete(std::string_view bytes) {
   using Result = http::ResponseParser::Result;
-  const Result result =
-      parse_answer_bytes(parser_, bytes, [this](std::string_view piece) { body_.append(piece); });
-  if (result != Result::kDone) return result == Result::kNeedMore;
-  return bytes.empty() && parser_.head().status == 200 && owner_.on_answer(*this);
+  const Result result = parse_answer_bytes(parser_, bytes, [this](std::string_view piece) {
+    if (parser_.head().status == kStatusOk) events_.feed(piece);
+  });
+  if (result == Result::kBroken) config::throw_field_error("answer", "HTTP/1.1 with a length is needed");
+  if (result == Result::kNeedMore) return false;
+  if (parser_.head().status != kStatusOk) config::throw_field_error("status", "200 is needed");
+  if (!bytes.empty()) config::throw_field_error("answer", "no bytes after its end are allowed");
+  return true;
 }
 
 void ChangeLogConnection::on_failure(const char* what) {
--- a/src/net/change_log_connection.h
+++ b/src/net/change_log_connection.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "config/engine_list_stream.h"
 #include "core/connection_end.h"
 #include "core/engine_listing.h"
 #include "http/response_parser.h"
@@ -15,6 +17,14 @@
 
 namespace orchidgw::net {
 
+// What is kept of an answer while it arrives.
+struct ChangeLogBounds {
+  std::size_t text_bytes = 0;  // see config::EngineListStream
+  // Engines of whole events. They are acted on late rather than in part, so that an engine which an answer
+  // lists and later withdraws is sent nothing in between.
+  std::size_t engines = 0;
+};
+
 class ChangeLogConnection final : public ChannelHandler {
  public:
   // In each call the owner may close the connection; it has to keep the object until the next turn.
@@ -22,14 +32,17 @@
    public:
     virtual ~Owner() = default;
     virtual void on_connected(ChangeLogConnection& connection) = 0;
-    // A whole answer with status 200 is there. False: it is not valid.
-    virtual bool on_answer(ChangeLogConnection& connection) = 0;
+    // The engines of an answer that is still arriving exceed their bound: the owner takes the events out.
+    virtual void on_events(ChangeLogConnection& connection) = 0;
+    // A whole answer is there, whose last event has the number `last`.
+    virtual void on_answer(ChangeLogConnection& connection, std::uint64_t last) = 0;
+    // The answer can't be read any further, for this reason.
+    virtual void on_invalid_answer(ChangeLogConnection& connection, const std::string& why) = 0;
     virtual void on_end(ChangeLogConnection& connection, core::ConnectionEnd end) = 0;
   };
 
-  // Takes ownership of `fd`, a socket that is connecting. `answer_bytes`: largest answer that is accepted.
-  ChangeLogConnection(Context& context, Owner& owner, int fd, core::Address address,
-                      std::size_t answer_bytes);
+  // Takes ownership of `fd`, a socket that is connecting.
+  ChangeLogConnection(Context& context, Owner& owner, int fd, core::Address address, ChangeLogBounds bounds);
 
   // Asks for the events after number `since`; the log answers after `timeout` even if there are none.
   void send_poll(std::uint64_t since, TimeUs timeout);
@@ -37,8 +50,9 @@
 
   bool connecting() const { return connecting_; }
   std::uint64_t since() const { return since_; }  // of the last poll
-  // Of the last answer; valid in on_answer().
-  std::string answer_text() const { return body_.text(); }
+  // Moves out the whole events that were read since the last call, of a complete answer or not.
+  std::vector<config::EngineListEvent> take_events() { return events_.take_events(); }
+  std::size_t engines_left_out() const { return events_.engines_left_out(); }  // of the last answer
   bool keep_alive() const { return parser_.head().keep_alive; }
 
   void on_readable() override;
@@ -48,7 +62,8 @@
 
  private:
   void flush();
-  bool read_bytes(std::string_view bytes);  // false: the answer is not valid
+  void read_bytes(std::string_view bytes);
+  bool answer_complete(std::string_view bytes);  // throws FieldError if the answer is invalid
 
   Context& context_;
   Owner& owner_;
@@ -57,8 +72,9 @@
   bool connecting_ = true;
   std::uint64_t since_ = 0;
   http::ResponseParser parser_;
+  std::size_t max_engines_;
+  config::EngineListStream events_;
   BufferChain unsent_;
-  BufferChain body_;
 };
 
 }  // namespace orchidgw::net
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -19,10 +19,15 @@
 constexpr std::int64_t kPoolDivisor = 4;         // buffers; work in progress may take half as much again
 constexpr std::int64_t kStatementsDivisor = 16;  // statements of open queries, and the same for their copies
 constexpr std::int64_t kFramesDivisor = 16;      // incomplete frames
-constexpr std::int64_t kChangesDivisor = 64;  // an answer of the change log; parsing it takes ten times that
-constexpr std::int64_t kKeysDivisor = 32;     // idempotency keys that are remembered
-constexpr std::size_t kBytesPerKey = 640;     // at most: the key has up to 256
-constexpr std::size_t kClientsDivisor = 3;    // of the descriptors: clients hold a third at most
+// An answer of the change log without its engines, which are read one by one; parsing it takes ten times
+// that.
+constexpr std::int64_t kChangesDivisor = 256;
+constexpr std::int64_t kListingsDivisor =
+    32;  // engines of an answer of the change log that is still arriving
+constexpr std::size_t kBytesPerListing = 400;
+constexpr std::int64_t kKeysDivisor = 32;         // idempotency keys that are remembered
+constexpr std::size_t kBytesPerKey = 640;         // at most: the key has up to 256
+constexpr std::size_t kClientsDivisor = 3;        // of the descriptors: clients hold a third at most
 constexpr std::size_t kReservedDescriptors = 32;  // listener, change log, signals, epoll, standard streams
 constexpr TimeUs kMaxWait = 1'000'000;
 constexpr TimeUs kReloadRetryDelay = 200'000;
@@ -44,6 +49,10 @@
   return bounds;
 }
 
+ChangeLogBounds change_log_bounds(const config::ControllerConfig& config) {
+  return {memory_part(config, kChangesDivisor), memory_part(config, kListingsDivisor) / kBytesPerListing};
+}
+
 ClientListenerLimits front_limits(const config::ControllerConfig& config) {
   ClientListenerLimits limits;
   limits.clients = max_clients(config);
@@ -100,9 +109,8 @@
       stall_tracker_(monotonic_now()),
       reducer_(config.settings, config.seed, counters_, protocol_bounds(config)),
       engines_(context_, engine_limits(config, fleet_descriptors)),
-      change_log_(
-          context_, config.change_log, config.initial_engine_list,
-          {memory_part(config, kChangesDivisor), config.connect_timeout, config.settings.rules, config.seed}),
+      change_log_(context_, config.change_log, config.initial_engine_list,
+                  {change_log_bounds(config), config.connect_timeout, config.settings.rules, config.seed}),
       client_listener_(context_, listener.release(), front_limits(config), reducer_),
       signals_(reactor_, [this](int signal) { on_signal(signal); }),
       ticker_(reactor_),
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -470,20 +470,65 @@
   EXPECT_EQ(controller->counters()["client_ends.too_much"], 1);
 }
 
-// Guards against a change log whose answer is larger than the memory that there is for it.
+// Guards against a change log whose answer, its engines aside, is larger than the memory that there is for
+// it.
 TEST_F(Running, AnAnswerOfTheChangeLogHasABound) {
+  constexpr long kBound = 8 * 1024;
+  constexpr long kRead = 8192;  // bytes that are read at once
   add_engine(serve_all);
-  HttpStandIn endless([](const HttpCall&) { return reply(200, {}, std::string(40000, ' ')); });
+  HttpStandIn endless([](const HttpCall&) { return reply(200, {}, std::string(100 * kBound, ' ')); });
   options.change_log = endless.address();
-  options.memory_mb = 2;  // of which 32 KiB are for an answer of the change log
+  options.memory_mb = 2;  // of which a 256th is the bound
   start();
   ASSERT_TRUE(endless.wait_for([n = 0](const HttpCall&) mutable { return ++n == 3; }));
   const auto counters = controller->counters();
   EXPECT_GT(counters.at("change_log_ends.unreadable"), 0);
-  EXPECT_LE(counters.at("bytes.change_log_in"), counters.at("list.calls") * 8192);
+  EXPECT_LE(counters.at("bytes.change_log_in"), counters.at("list.calls") * (kBound + kRead));
+  EXPECT_TRUE(controller->wait_for_line("change log: field 'results': a shorter list is needed"));
   EXPECT_EQ(ask().kind, Kind::kServed);
 }
 
+// Guards against a drain that is never heard, because so much is told at once that the answer was rejected
+// for its length and asked for again for ever (review/7).
+TEST_F(Running, ADrainIsHeardInAnAnswerOfAnyLength) {
+  constexpr int kOthers = 1000;  // 100 KB of text, twelve times the bound
+  add_engine(serve_all);
+  add_engine(serve_all);
+  options.memory_mb = 2;  // of which a 256th is for an answer's text, its engines aside
+  start();
+  change_log.set_down(true);
+  std::string members;
+  for (int i = 0; i < kOthers; ++i)
+    members += member_json("other-" + std::to_string(i), "", "terminated") + ",";
+  change_log.publish(members + member_json("s-0", engines[0]->address(), "terminating"));
+  change_log.publish(members + member_json("other", "", "terminated"));
+  change_log.set_down(false);
+  ASSERT_TRUE(controller->wait_for_counter("list.changes", 2));
+  EXPECT_EQ(ask().kind, Kind::kServed);
+  EXPECT_EQ(engines[0]->count("POST"), 0);
+  EXPECT_EQ(controller->counters()["change_log_ends.unreadable"], 0);
+}
+
+// Guards against asking for ever for an answer that is cut off each time, without hearing what it tells.
+TEST_F(Running, ADrainIsHeardInAnAnswerThatIsCutOff) {
+  add_engine(serve_all);
+  add_engine(serve_all);
+  const std::string drained = member_json("s-0", engines[0]->address(), "terminating");
+  HttpStandIn cut_off([drained](const HttpCall&) {
+    return misbehave(HttpReply::Behavior::kRaw,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
+                     R"({"seq":3,"results":[{"seq":2,"fleet":{"members":[)" +
+                         drained + R"(]}},{"seq":3,"fleet":{"mem)");
+  });
+  options.change_log = cut_off.address();
+  start();
+  ASSERT_TRUE(controller->wait_for_counter("list.changes", 2));
+  EXPECT_EQ(ask().kind, Kind::kServed);
+  EXPECT_EQ(engines[0]->count("POST"), 0);
+  ASSERT_TRUE(
+      cut_off.wait_for([](const HttpCall& call) { return call.path.find("since=2&") != std::string::npos; }));
+}
+
 // Guards against memory that fills up with incomplete frames.
 TEST_F(Running, UnfinishedFramesShareABound) {
   add_engine(serve_all);
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -4,6 +4,7 @@
 
 #include "config/address.h"
 #include "config/controller_config.h"
+#include "config/engine_list_stream.h"
 #include "config/json_fields.h"
 
 namespace orchidgw::config {
@@ -88,6 +89,15 @@
   EXPECT_NE(parse_error(std::string(1'000'000, '[')).find("BALANCER_CONFIG"), std::string::npos);
 }
 
+EngineListEvents parse_engine_list_events(std::string_view text) {
+  EngineListStream stream(text.size() + 1);
+  stream.feed(text);
+  EngineListEvents out;
+  out.last = stream.finish();
+  out.changes = stream.take_events();
+  return out;
+}
+
 TEST(FleetChanges, ReadsEventsInOrderAndPassesOverOtherKinds) {
   const auto c = parse_engine_list_events(
       R"({"seq":5,"results":[{"seq":3,"fleet":{"complete":false,"members":[{"id":"a","host_port":"10.0.0.1:1",)"
@@ -115,6 +125,69 @@
   EXPECT_THROW(parse_engine_list_events(R"({"seq":1,"results":{}})"), FieldError);
 }
 
+// Guards against an answer that is rejected for its length alone, and asked for again for ever (review/7).
+TEST(EngineListStream, ReadsAnAnswerManyTimesAsLongAsWhatItMayKeep) {
+  constexpr std::size_t kMaxTextBytes = 2000;
+  constexpr int kEvents = 100;
+  constexpr int kEnginesOfAnEvent = 50;
+  EngineListStream stream(kMaxTextBytes);
+  stream.feed(R"({"seq":101,"results":[)");
+  int engines = 0;
+  std::uint64_t last_taken = 0;
+  for (int event = 1; event <= kEvents; ++event) {
+    stream.feed((event > 1 ? "," : "") + (R"({"seq":)" + std::to_string(event)) + R"(,"fleet":{"members":[)");
+    for (int i = 0; i < kEnginesOfAnEvent; ++i)
+      stream.feed(std::string(i > 0 ? "," : "") + R"({"id":"e-)" + std::to_string(i) +
+                  R"(","phase":"in_service","host_port":"10.0.0.1:1","locality":"]}\"{["})");
+    stream.feed("]}}");
+    EXPECT_EQ(stream.engines_in_events(), static_cast<std::size_t>(kEnginesOfAnEvent));
+    for (const EngineListEvent& taken : stream.take_events()) {
+      EXPECT_EQ(taken.number, ++last_taken);
+      engines += static_cast<int>(taken.engines.size());
+      EXPECT_EQ(taken.engines.at(0).entry.zone, R"(]}"{[)");
+    }
+  }
+  stream.feed("]}");
+  EXPECT_EQ(stream.finish(), 101U);
+  EXPECT_EQ(engines, kEvents * kEnginesOfAnEvent);
+  EXPECT_EQ(stream.engines_left_out(), 0U);
+}
+
+TEST(EngineListStream, GivesTheSameEventsHoweverTheBytesAreSplit) {
+  const std::string text =
+      R"({"seq":5,"results":[{"seq":3,"fleet":{"complete":true,"members":[{"id":"a","host_port":"10.0.0.1:1",)"
+      R"("phase":"terminating"},{"id":"b","phase":"terminated"}]}},{"seq":4,"later":{"fleet":[{"members":[{}]}]}},)"
+      R"({"fleet":{"members":[{"id":"c","phase":"terminated"},{"id":7}]},"seq":5}]} )";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    EngineListStream stream(text.size());
+    for (std::size_t at = 0; at < text.size(); at += piece)
+      stream.feed(std::string_view(text).substr(at, piece));
+    EXPECT_EQ(stream.finish(), 5U);
+    EXPECT_EQ(stream.engines_left_out(), 1U);
+    const auto events = stream.take_events();
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_TRUE(events[0].complete);
+    EXPECT_EQ(events[0].engines.size(), 2U);
+    EXPECT_EQ(events[1].number, 5U);
+    EXPECT_EQ(events[1].engines.at(0).entry.id, "c");
+  }
+}
+
+TEST(EngineListStream, WhatItKeepsBesidesEnginesHasABound) {
+  EngineListStream stream(100);
+  EXPECT_THROW(stream.feed(std::string(101, ' ')), FieldError);
+  stream.reset();
+  EXPECT_THROW(stream.feed(R"({"results":[{"seq":1,"fleet":{")" + std::string(101, 'x')), FieldError);
+  stream.reset();
+  EXPECT_THROW(stream.feed(std::string(1000, '[')), FieldError);
+  stream.reset();  // an engine of any length is read to its end, and left out
+  stream.feed(R"({"seq":1,"results":[{"seq":1,"fleet":{"members":[{"id":")" + std::string(100'000, 'x') +
+              "\"}");
+  stream.feed("]}}]}");
+  EXPECT_EQ(stream.finish(), 1U);
+  EXPECT_EQ(stream.engines_left_out(), 1U);
+}
+
 TEST(Address, IsAnIpv4AddressAndAPort) {
   EXPECT_TRUE(parse_address("127.0.0.1:80").has_value());
   for (const char* bad : {"", ":80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:65536", "host:80",
