--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -15,7 +15,10 @@
 using core::ConnectionEnd;
 
 constexpr std::size_t kMaxFrameBytes = 64UL * 1024;  // of a request
-constexpr int kMaxReadsPerEvent = 8;  // of one buffer each, so that no client holds up the others
+// What is read of a client at once, so that none holds up the others or fills the event queue.
+constexpr std::size_t kMaxBytesPerEvent = 8 * kBufferBytes;
+constexpr int kMaxCallsPerEvent = 32;                  // a client may have as many requests open
+constexpr std::size_t kBytesReadAtFrameEnd = 512;      // bounds the calls beyond kMaxCallsPerEvent
 constexpr std::size_t kMaxUnsentBytes = 512UL * 1024;  // of answers: beyond it the client is paused
 // From a frame's first byte; for the first frame from the connection's start.
 constexpr TimeUs kFrameTimeout = 2'000'000;
@@ -76,16 +79,19 @@
 
 void ClientConnection::read_available() {
   if (!unread_since_) unread_since_ = context_.earliest_arrival;
-  for (int i = 0; i < kMaxReadsPerEvent; ++i) {
+  calls_in_event_ = 0;
+  for (std::size_t total = 0; total < kMaxBytesPerEvent && calls_in_event_ < kMaxCallsPerEvent;) {
     if (context_.under_memory_pressure() || is_output_full()) pause();
     if (!should_read()) return watch_input(false);
     BufferChain in(context_.pool);
-    const std::span<char> writable_span = in.writable_span();
+    const std::span<char> writable_span = in.writable_span().first(
+        std::clamp(frame_reader_.missing_bytes(), kBytesReadAtFrameEnd, kBufferBytes));
     const IoResult io_result = read_some(channel_.fd(), writable_span);
     if (io_result.kind == IoResult::Kind::kWouldBlock) return unread_since_.reset();
     if (io_result.kind == IoResult::Kind::kClosed) return close(ConnectionEnd::kClosedIdle);
     if (io_result.kind == IoResult::Kind::kReset) return close(ConnectionEnd::kResetUnanswered);
     context_.counters.client_bytes_in += io_result.bytes;
+    total += io_result.bytes;
     last_activity_at_ = monotonic_now();
     if (!parse_frames({writable_span.data(), io_result.bytes}))
       return close_when_answered(ConnectionEnd::kUnreadable);
@@ -135,6 +141,7 @@
     auto call = frame_reader_.body_discarded() ? thrift::read_call_prefix(frame_reader_.frame())
                                                : thrift::read_call(frame_reader_.frame());
     has_sent_message_ = true;
+    ++calls_in_event_;
     if (!call) return false;
     handle_call(std::move(*call));
     if (!is_open() || closing_end_) return true;
@@ -300,8 +307,9 @@
 
 void ClientConnection::resume_reading() {
   if (!is_open() || catching_up_ || context_.under_memory_pressure() || is_output_full()) return;
-  catch_up();
-  if (!is_open()) return;
+  has_more_to_catch_up_ = !catch_up();
+  if (has_more_to_catch_up_) totals_.catching_up = true;
+  if (!is_open() || has_more_to_catch_up_) return;
   if (!closing_end_ && std::exchange(paused_, false)) --totals_.paused_clients;
   while (!held_calls_.empty() && (!paused_ || closing_end_)) {
     dispatch_call(pop_held_call(), Reason::kNone);
@@ -344,11 +352,14 @@
 }
 
 // Guards against attempts for a held call whose abort arrived during the pause and has not been read.
-void ClientConnection::catch_up() {
-  if (held_calls_.empty() || closing_end_ || should_read()) return;
+bool ClientConnection::catch_up() {
+  if (held_calls_.empty() || closing_end_ || (should_read() && !has_more_to_catch_up_)) return true;
+  const std::uint64_t before = context_.counters.client_bytes_in;
   catching_up_ = true;
   read_available();
   catching_up_ = false;
+  const bool progressed = context_.counters.client_bytes_in > before;
+  return !is_open() || closing_end_ || !progressed || !has_input(channel_.fd());
 }
 
 // Guards against clients that occupy a descriptor to no purpose: new connections that send nothing, frames
@@ -403,7 +414,7 @@
 // discarded until the client closes its side, within bounds of time (kept by the owner) and of bytes.
 void ClientConnection::discard_input() {
   std::array<char, 4096> into;
-  for (int i = 0; i < kMaxReadsPerEvent; ++i) {
+  for (std::size_t total = 0; total < kMaxBytesPerEvent; total += into.size()) {
     const IoResult io_result = read_some(channel_.fd(), into);
     if (io_result.kind == IoResult::Kind::kWouldBlock) return;
     discarded_bytes_ += io_result.bytes;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -22,6 +22,7 @@
   std::size_t buffered_bytes = 0;      // of unfinished frames and of the held calls of paused clients
   std::size_t paused_clients = 0;      // clients that wait for memory, or have to read their answers first
   bool shutting_down = false;          // each client is closed after its next answer
+  bool catching_up = false;            // a client has more to catch up: resume_reading() in the next turn
 };
 
 // A client is paused while memory is short or too many bytes of its answers are unsent: its calls are held or
@@ -54,6 +55,8 @@
   // Ends the pause if memory and unsent answers allow it: dispatches the held calls and reads again.
   void resume_reading();
   bool paused() const { return paused_; }
+  // resume_reading() has read a part of what arrived during the pause.
+  bool has_more_to_catch_up() const { return has_more_to_catch_up_; }
   // Refuses the held calls, for a client that reads nothing or while memory is short.
   void refuse_held_calls();
   // For paused clients, whose close may lie behind bytes that are not read.
@@ -101,7 +104,8 @@
   bool closes_after_answers() const { return closing_end_ || draining_; }
   void read_available();
   void discard_input();
-  void catch_up();
+  // Reads what arrived during the pause before held calls are dispatched. False: there is more to read.
+  bool catch_up();
   void watch_input(bool on);
   bool parse_frames(std::string_view bytes);
   void handle_call(thrift::FrontCall call);
@@ -146,6 +150,8 @@
   bool draining_ = false;
   bool has_sent_message_ = false;
   bool paused_ = false;
+  bool has_more_to_catch_up_ = false;
+  int calls_in_event_ = 0;           // read in this call of read_available()
   bool catching_up_ = false;         // in catch_up(): reads what arrived during the pause
   bool lingering_ = false;           // closed for its owner; what still arrives is discarded
   std::size_t discarded_bytes_ = 0;  // while lingering
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -24,7 +24,7 @@
     : context_(context),
       listener_(context.reactor, listener, *this),
       limits_(limits),
-      totals_{limits.frame_bytes, 0, 0, false},
+      totals_{.max_buffered_bytes = limits.frame_bytes},
       reducer_(reducer) {
   listener_.want_read(true);
 }
@@ -160,8 +160,17 @@
   return largest;
 }
 
+void ClientListener::go_on_catching_up() {
+  if (!std::exchange(totals_.catching_up, false)) return;
+  const auto snapshot = clients_;  // clients that close themselves are removed from clients_ during the loop
+  for (const auto& [id, client] : snapshot)
+    if (client->has_more_to_catch_up()) client->resume_reading();
+  if (totals_.catching_up) context_.reactor.skip_next_wait();
+}
+
 void ClientListener::between_turns(TimeUs now) {
   reclaim_unread_answers();
+  go_on_catching_up();
   end_lingering(now);
   close_disconnected_clients(now);
   if (now - last_sweep_at_ < sweep_interval()) return;
--- a/src/thrift/frame_reader.cpp
+++ b/src/thrift/frame_reader.cpp
@@ -38,6 +38,10 @@
   return Result::kFrame;
 }
 
+std::size_t FrameReader::missing_bytes() const {
+  return in_frame() && length_bytes_ == kLengthBytes ? length_ - received_bytes_ : 0;
+}
+
 void FrameReader::discard_body() {
   if (!in_frame()) return;
   discarding_ = true;
--- a/src/thrift/frame_reader.h
+++ b/src/thrift/frame_reader.h
@@ -30,6 +30,8 @@
   bool body_discarded() const { return discarding_ && length_ > kFramePrefixBytes; }
   // Bytes of memory that an incomplete frame takes, including the spare capacity of its string.
   std::size_t buffered_bytes() const { return in_frame() ? body_.capacity() : 0; }
+  // Bytes that are still to come of the frame begun; 0 if there is none or its length is not known yet.
+  std::size_t missing_bytes() const;
   // A frame has begun and is not complete.
   bool in_frame() const { return length_bytes_ > 0 && !complete_; }
 
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -222,6 +222,7 @@
 // Guards against losing what a client with an open request writes, because others have filled the common
 // bound on unfinished frames (review/6). The others' requests are failed if they arrive whole after all.
 TEST_F(FrontDoorMemory, FramesOfOthersThatFillTheBoundDoNotCloseAClient) {
+  constexpr std::size_t kFrameBound = 1'000'000;  // of the fixture
   constexpr std::size_t kFrameBytes = 60'000;
   constexpr std::size_t kSmallFrameBytes = 6'000;
   constexpr int kClientsOfEachSize = 40;  // a multiple of what the fixture's bound holds
@@ -247,10 +248,35 @@
   EXPECT_TRUE(arrivals().back()->request.has_value());
   EXPECT_EQ(ends(core::ConnectionEnd::kLimitExceeded), 0U);
   EXPECT_GT(counters.frames_discarded, 0U);
-  write(others.front(), invoke_of_size(2, kFrameBytes).substr(kFrameBytes - 1000));
-  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 3; }));
-  EXPECT_TRUE(arrivals().back()->discarded);
-  EXPECT_EQ(arrivals().back()->tag, 2);
+  const std::string rest = invoke_of_size(2, kFrameBytes).substr(kFrameBytes - 1000);
+  for (int i = 0; i < kClientsOfEachSize; ++i) write(others[static_cast<std::size_t>(i)], rest);
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 2 + kClientsOfEachSize; }));
+  int discarded = 0;
+  for (const core::RequestArrived* request : arrivals()) {
+    if (!request->discarded) continue;
+    ++discarded;
+    EXPECT_EQ(request->tag, 2);
+    EXPECT_FALSE(request->request.has_value());
+  }
+  EXPECT_GE(discarded, kClientsOfEachSize - static_cast<int>(kFrameBound / kFrameBytes));
+}
+
+// Guards against memory that fills with the calls of one turn, and against others that wait behind them: as
+// much as had arrived was read at once (issue 62, b).
+TEST_F(FrontDoorMemory, FewCallsOfAClientAreReadInATurn) {
+  constexpr std::int32_t kCallsOfATurn = 64;  // twice what a client may have open
+  open(4);
+  auto socket = client();
+  std::string all;
+  for (std::int32_t i = 2; i < kManyCalls; ++i) all += i % 2 == 0 ? invoke(i) : abort(1'000'000 + i);
+  write(socket, all);
+  std::size_t most_in_a_turn = 0;
+  ASSERT_TRUE(run_until([&, before = std::size_t{0}]() mutable {
+    most_in_a_turn = std::max(most_in_a_turn, events.size() - before);
+    before = events.size();
+    return events.size() == kManyCalls - 2;
+  }));
+  EXPECT_LE(most_in_a_turn, kCallsOfATurn);
 }
 
 // Held calls would keep a client that reads nothing from ever being closed: they are refused.
