--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -24,14 +24,15 @@
   kOutOfTime,          // its client's time may be over, as it waited to be read
   kKeysFull,           // its idempotency key is new, and no further key can be remembered
   kBacklog,            // its client is paused (memory, unread answers), and its call can't be held any longer
+  kQueriesFull,        // too many queries are open, and its client has more than its part of them
 };
-inline constexpr std::size_t kReasonCount = static_cast<std::size_t>(Reason::kBacklog) + 1;
+inline constexpr std::size_t kReasonCount = static_cast<std::size_t>(Reason::kQueriesFull) + 1;
 
 inline const char* name_of(Reason reason) {
   constexpr std::array<const char*, kReasonCount> kNames = {
-      "none",          "decision",    "rate",      "concurrency",  "line_full", "closed",
-      "held_too_long", "attempts",    "outcome",   "retry_budget", "shed",      "no_intent",
-      "shut_down",     "out_of_time", "keys_full", "backlog"};
+      "none",          "decision",    "rate",      "concurrency",  "line_full",   "closed",
+      "held_too_long", "attempts",    "outcome",   "retry_budget", "shed",        "no_intent",
+      "shut_down",     "out_of_time", "keys_full", "backlog",      "queries_full"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -159,6 +159,8 @@
   if (query.request.time_budget <= 0) return refuse_request(id, Reason::kShutDown, longest_retry_after());
   if (event.refusal_reason != Reason::kNone)
     return refuse_request(id, event.refusal_reason, longest_retry_after());
+  if (exceeds_open_queries(event.client))
+    return refuse_request(id, Reason::kQueriesFull, longest_retry_after());
   const ClientRequest& r = query.request;
   if (levels_.has_levels()) {
     levels_.meters()->query_arrived(now_, r.class_name, r.tenant);
@@ -172,6 +174,12 @@
   apply_verdict(id, verdict);
 }
 
+// Guards against memory that fills with open queries, at the cost of those clients alone that have many.
+bool Reducer::exceeds_open_queries(ClientId client) const {
+  return queries_.size() > bounds_.max_open_queries &&
+         open_requests_of(client) > bounds_.open_queries_of_each_client;
+}
+
 void Reducer::set_final_answer_timer(QueryId id, TimeUs due) {
   const bool shut_down_before = shutdown_answer_by_ < due;
   const TimerKind kind = shut_down_before ? TimerKind::kShutDown : TimerKind::kOverdue;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -38,7 +38,10 @@
   int max_failed_calls = 8;  // so many failed calls in a row are retried; one more gives the attempt up
   std::size_t max_result_bytes = 48'000;  // all pages of one result together
   std::size_t max_open_requests_per_client = 32;
-  std::size_t max_remembered_keys = 4096;  // idempotency keys of open and of recent requests
+  // With so many open queries a client that has more than its part of them is refused further ones.
+  std::size_t max_open_queries = std::numeric_limits<std::size_t>::max();
+  std::size_t open_queries_of_each_client = 32;  // its part: as many are accepted from each
+  std::size_t max_remembered_keys = 4096;        // idempotency keys of open and of recent requests
 };
 
 class Reducer final : private ActionSink {
@@ -166,6 +169,7 @@
   // Why a request of that class can't be accepted; empty if it can.
   std::string validation_error(const ClientRequest& request, const ClassSettings& query_class) const;
   void accept_request(RequestArrived& event, int class_index);
+  bool exceeds_open_queries(ClientId client) const;
   void fail_discarded(const RequestArrived& event);
   void apply_verdict(QueryId id, const limits::Verdict& verdict);
   void pass_to_module(QueryId id);
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -25,8 +25,11 @@
 constexpr std::int64_t kListingsDivisor =
     32;  // engines of an answer of the change log that is still arriving
 constexpr std::size_t kBytesPerListing = 400;
-constexpr std::int64_t kKeysDivisor = 32;         // idempotency keys that are remembered
-constexpr std::size_t kBytesPerKey = 640;         // at most: the key has up to 256
+constexpr std::int64_t kKeysDivisor = 32;  // idempotency keys that are remembered
+constexpr std::size_t kBytesPerKey = 640;  // at most: the key has up to 256
+// Open queries above each client's part, and the parts of all clients together.
+constexpr std::int64_t kQueriesDivisor = 16;
+constexpr std::size_t kBytesPerQuery = 3000;
 constexpr std::size_t kClientsDivisor = 3;        // of the descriptors: clients hold a third at most
 constexpr std::size_t kReservedDescriptors = 32;  // listener, change log, signals, epoll, standard streams
 constexpr TimeUs kMaxWait = 1'000'000;
@@ -46,6 +49,9 @@
 core::ProtocolBounds protocol_bounds(const config::ControllerConfig& config) {
   core::ProtocolBounds bounds;
   bounds.max_remembered_keys = memory_part(config, kKeysDivisor) / kBytesPerKey;
+  bounds.max_open_queries = memory_part(config, kQueriesDivisor) / kBytesPerQuery;
+  bounds.open_queries_of_each_client =
+      std::max<std::size_t>(bounds.max_open_queries / max_clients(config), 1);
   return bounds;
 }
 
