--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -22,7 +22,7 @@
   kIntentNotStored,    // it must not run twice, and its intent can't be stored
   kShutDown,           // the controller shuts down before it can be answered
   kOutOfTime,          // its client's time may be over, as it waited to be read
-  kKeysFull,           // its idempotency key is new, and no further key can be remembered
+  kKeysFull,           // no further idempotency key or reference can be remembered, and its own is new
   kBacklog,            // its client is paused (memory, unread answers), and its call can't be held any longer
   kQueriesFull,        // too many queries are open, and its client has more than its part of them
 };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -17,6 +17,7 @@
       counters_(counters),
       bounds_(bounds),
       module_(make_workload_budget(settings, seed)),
+      reference_history_(bounds.max_remembered_references),
       key_history_(bounds.max_remembered_keys),
       limiter_(settings, seed) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
@@ -88,6 +89,7 @@
   };
   if (event.discarded) return fail_discarded(event);
   if (!event.request) return unusable(event.why);
+  reference_history_.forget_expired(now_);
   const auto known = class_indexes_.find(event.request->class_name);
   if (known == class_indexes_.end()) return unusable("unknown class");
   const ClassSettings& query_class = settings_.classes[static_cast<std::size_t>(known->second)];
@@ -128,6 +130,8 @@
     return "the work is out of range";
   if (memory_mb > 0 && request.memory_mb > memory_mb) return "the memory is out of range";
   if (references_.count(request.reference) > 0) return "the reference is in use";
+  if (query_class.effect == Effect::kAtMostOnce && reference_history_.contains(request.reference))
+    return "the reference was used before";
   return "";
 }
 
@@ -147,6 +151,8 @@
   open_requests_[{event.client, event.tag}] = id;
   ++counters_.accepted_queries;
   queries_to_check_.push_back(id);
+  if (class_of(query).effect == Effect::kAtMostOnce && reference_history_.full())
+    return refuse_request(id, Reason::kKeysFull, longest_retry_after());
   if (class_of(query).effect == Effect::kDeduplicated && !passes_key_history(id)) return;
   if (key_lookup_ && !passes_key_check(id)) return;
   // Guards against answers after the client's time: the request may have waited unread, while this process
@@ -208,6 +214,13 @@
   return false;
 }
 
+void Reducer::remember_reference(const QueryState& query) {
+  const bool may_have_run = std::any_of(query.attempts.begin(), query.attempts.end(),
+                                        [](const AttemptState& attempt) { return attempt.may_have_run; });
+  if (class_of(query).effect == Effect::kAtMostOnce && may_have_run)
+    reference_history_.remember(query.request.reference, now_ + key_retention_of(class_of(query)));
+}
+
 std::optional<EarlierAttempt> Reducer::earlier_try_of(const QueryState& query) const {
   return orchidgw::earlier_try_of(query.id, query.key_starts.get());
 }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -19,6 +19,7 @@
 #include "core/events.h"
 #include "core/key_history.h"
 #include "core/keys.h"
+#include "core/reference_history.h"
 #include "core/timer_queue.h"
 #include "decision/decision.h"
 #include "decision/permission.h"
@@ -41,6 +42,7 @@
   // With so many open queries a client that has more than its part of them is refused further ones.
   std::size_t max_open_queries = std::numeric_limits<std::size_t>::max();
   std::size_t open_queries_of_each_client = 32;  // its part: as many are accepted from each
+  std::size_t max_remembered_references = 8192;  // of recent queries that must not run twice
   std::size_t max_remembered_keys = 4096;        // idempotency keys of open and of recent requests
 };
 
@@ -169,6 +171,7 @@
   // Why a request of that class can't be accepted; empty if it can.
   std::string validation_error(const ClientRequest& request, const ClassSettings& query_class) const;
   void accept_request(RequestArrived& event, int class_index);
+  void remember_reference(const QueryState& query);
   bool exceeds_open_queries(ClientId client) const;
   void fail_discarded(const RequestArrived& event);
   void apply_verdict(QueryId id, const limits::Verdict& verdict);
@@ -290,6 +293,7 @@
   std::vector<QueryId> queries_to_check_;  // erased after the event if they are finished
   // References of all queries, so that an engine never has two under the same one.
   std::unordered_set<std::string> references_;
+  ReferenceHistory reference_history_;
   KeyHistory key_history_;
   limits::Limiter limiter_;
   service_level::ServiceLevel levels_;
--- a/src/core/reducer_attempts.cpp
+++ b/src/core/reducer_attempts.cpp
@@ -332,6 +332,7 @@
       key_history_.close(now_, it->second.request.idempotency_key, id,
                          key_retention_of(class_of(it->second)));
     statement_bytes_ -= it->second.request.statement.size();
+    remember_reference(it->second);
     references_.erase(it->second.request.reference);
     queries_.erase(it);
   }
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -21,11 +21,13 @@
 constexpr std::int64_t kFramesDivisor = 16;      // incomplete frames
 // An answer of the change log without its engines, which are read one by one; parsing it takes ten times
 // that.
-constexpr std::int64_t kChangesDivisor = 256;
+constexpr std::int64_t kChangesDivisor = 512;
 constexpr std::int64_t kListingsDivisor =
     32;  // engines of an answer of the change log that is still arriving
 constexpr std::size_t kBytesPerListing = 400;
-constexpr std::int64_t kKeysDivisor = 32;  // idempotency keys that are remembered
+constexpr std::int64_t kKeysDivisor = 32;        // idempotency keys that are remembered
+constexpr std::int64_t kReferencesDivisor = 64;  // references of queries that must not run twice
+constexpr std::size_t kBytesPerReference = 128;
 constexpr std::size_t kBytesPerKey = 640;  // at most: the key has up to 256
 // Open queries above each client's part, and the parts of all clients together.
 constexpr std::int64_t kQueriesDivisor = 16;
@@ -49,6 +51,7 @@
 core::ProtocolBounds protocol_bounds(const config::ControllerConfig& config) {
   core::ProtocolBounds bounds;
   bounds.max_remembered_keys = memory_part(config, kKeysDivisor) / kBytesPerKey;
+  bounds.max_remembered_references = memory_part(config, kReferencesDivisor) / kBytesPerReference;
   bounds.max_open_queries = memory_part(config, kQueriesDivisor) / kBytesPerQuery;
   bounds.open_queries_of_each_client =
       std::max<std::size_t>(bounds.max_open_queries / max_clients(config), 1);
--- a/tests/reducer/reducer_test.cpp
+++ b/tests/reducer/reducer_test.cpp
@@ -407,6 +407,45 @@
   EXPECT_FALSE(calls.empty());
 }
 
+// Guards against a second run under a reference that comes again after its client has left, or has its answer
+// (issue 62, c): the first run's end forgot the reference.
+TEST_F(ReducerTest, AReferenceThatMayHaveRunOnceIsNotStartedAgain) {
+  constexpr ClientId kReturned = kClient + 1;
+  start_reducer();
+  request(1, "once");
+  const CallId start = last_call().call;
+  apply(ClientClosed{kClient});
+  end_call(start, ConnectionEnd::kDropped);
+  answer(last_call().call, Kind::kDone);
+  EXPECT_EQ(reducer->queries(), 0U);
+  const auto calls_before = calls.size();
+  const auto again = valid_request(1, "once");
+  apply(RequestArrived{kReturned, 1, again, ""});
+  EXPECT_EQ(answers[1], std::vector<std::string>{"failed the reference was used before"});
+  EXPECT_EQ(calls.size(), calls_before);
+  now += 60 * kSecond;  // more than twice the class's deadline
+  apply(RequestArrived{kReturned, 2, again, ""});
+  EXPECT_EQ(calls.size(), calls_before + 1);
+}
+
+// A query of which nothing ran may come again; and while no further reference can be remembered, queries that
+// would need it are refused, others served.
+TEST_F(ReducerTest, ReferencesAreRememberedWithinABound) {
+  ProtocolBounds bounds;
+  bounds.max_remembered_references = 1;
+  start_reducer();
+  reducer = std::make_unique<Reducer>(settings, 1, counters, bounds);
+  apply(EnginesChanged{ListKind::kStored, {engine(0)}});
+  request(1, "once");
+  answer(last_call().call, Kind::kServed, "x\n", 1);
+  const auto calls_before = calls.size();
+  request(2, "once");
+  EXPECT_EQ(counters.refusals[static_cast<std::size_t>(Reason::kKeysFull)], 1U);
+  EXPECT_EQ(calls.size(), calls_before);
+  request(3, "lookup");
+  EXPECT_EQ(calls.size(), calls_before + 1);
+}
+
 // Guards against memory that fills with open queries: only clients with more than their part of them are
 // refused further ones (issue 62, a).
 TEST_F(ReducerTest, WhenTooManyQueriesAreOpenThoseWithManyAreRefused) {
