--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kMaxDiscardedBytes = 256UL * 1024;     // of a lingering connection
 
 std::size_t held_call_size(const thrift::FrontCall& call) {
-  return sizeof call + (call.request ? call.request->statement.size() : 0);
+  return sizeof call + call.name.size() + (call.request ? call.request->statement.size() : 0);
 }
 
 // True if the client did not end the connection itself: it may still be writing.
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -60,6 +60,7 @@
   request.is_retry = value_in(fields, "dup") == "1";
   if (!is_reference(request.reference)) return reject("ref: 16 hex digits are needed");
   if (request.class_name.empty() || !is_header_value(request.class_name)) return reject("service: missing");
+  if (request.tenant.size() > kMaxHeaderValueBytes) return reject("project: a shorter name is needed");
   if (!is_header_value(request.idempotency_key)) return reject("replay: a plain text is needed");
   const auto allow = core::parse_finite_double(value_in(fields, "allow"));
   if (!allow || *allow <= 0 || *allow > kMaxTimeBudgetMs)
--- a/tests/unit/thrift_test.cpp
+++ b/tests/unit/thrift_test.cpp
@@ -113,6 +113,16 @@
   EXPECT_FALSE(reader.in_frame());
 }
 
+// Guards against memory that fills with the names of tenants, which no bound counts (issue 62, a).
+TEST(Front, ATenantsNameOfManyBytesIsNotKept) {
+  const auto longest = read_call(invoke(with("project", std::string(256, 't')), "select 1"));
+  ASSERT_TRUE(longest && longest->request);
+  const auto longer = read_call(invoke(with("project", std::string(257, 't')), "select 1"));
+  ASSERT_TRUE(longer);
+  EXPECT_FALSE(longer->request);
+  EXPECT_EQ(longer->why, "project: a shorter name is needed");
+}
+
 TEST(FrameReader, KeepsThePrefixOfADiscardedFrameAndThenReadsOn) {
   const std::string body = std::string(1000, 'a') + std::string(9000, 'b');
   const std::string length{'\0', '\0', '\x27', '\x10'};  // 10,000
