--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -49,12 +49,40 @@
       engines_[listing.entry.id] = listing;
     }
   }
+  for (const EngineId& id : remove_replaced_engines(event.engines)) {
+    std::erase_if(entries, [&](const EngineEntry& entry) { return entry.id == id; });
+    if (event.kind != ListKind::kDelta) continue;
+    EngineEntry& gone = entries.emplace_back();
+    gone.id = id;
+    gone.state = EngineState::kGone;
+  }
   engine_list_known_ = true;
   if (levels_.has_levels()) update_level_engines();
   withdraw_from_leaving_engines();
   module_->on_engines(now_, event.kind, entries, *this);
 }
 
+// Removes engines at whose address a later one is in service: no process of theirs is left there. Guards
+// against work that is meant for the earlier process and reaches the new one, which may still be cold, where
+// the end of the earlier one is told late or never.
+std::vector<EngineId> Reducer::remove_replaced_engines(const std::vector<EngineListing>& listings) {
+  std::map<std::pair<std::string, std::uint16_t>, const EngineEntry*> latest;
+  for (const EngineListing& listing : listings) {
+    if (listing.entry.state != EngineState::kInService || listing.address.host.empty()) continue;
+    const EngineEntry*& entry = latest[{listing.address.host, listing.address.port}];
+    if (entry == nullptr || listing.entry.started_at >= entry->started_at) entry = &listing.entry;
+  }
+  std::vector<EngineId> replaced;
+  for (const auto& [id, listing] : engines_) {
+    const auto found = latest.find({listing.address.host, listing.address.port});
+    if (found == latest.end() || found->second->id == id) continue;
+    const bool is_later = listing.entry.started_at > found->second->started_at;
+    replaced.push_back(is_later ? found->second->id : id);
+  }
+  for (const EngineId& id : replaced) engines_.erase(id);
+  return replaced;
+}
+
 // Withdraws starts whose first byte is not sent yet from engines that are draining or gone. Such a start was
 // chosen before the drain was announced and may still be waiting for a slow connection, a descriptor or the
 // hold on its key; without this it would reach the engine long after the announcement.
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -208,6 +208,7 @@
   void update_level_engines();
   void record_answer(const QueryState& query, bool late);
   void abandon_request(const RequestKey& key);
+  std::vector<EngineId> remove_replaced_engines(const std::vector<EngineListing>& listings);
   void withdraw_from_leaving_engines();
   // Withdraws the attempt's start if that call is open; a start whose first byte was sent goes on.
   void withdraw_unsent_start(const AttemptState& attempt);
--- a/tests/reducer/reducer_test.cpp
+++ b/tests/reducer/reducer_test.cpp
@@ -407,6 +407,33 @@
   EXPECT_FALSE(calls.empty());
 }
 
+// Guards against taking a new process for the one that was at its address before, whose end is told late or
+// never (issue 62, d): it got the work of both, and that of a warm one.
+TEST_F(ReducerTest, AnEngineAtTheAddressOfAnotherTakesItsPlace) {
+  start_reducer(2);
+  EngineListing successor = engine(0);
+  successor.entry.id = "s-9";
+  apply(EnginesChanged{ListKind::kDelta, {successor}});
+  EXPECT_EQ(reducer->engines(), 2U);
+  for (RequestTag tag = 1; tag <= 20; ++tag) request(tag);
+  std::map<std::string, int> starts;
+  for (const SendCall& call : calls) ++starts[call.engine];
+  EXPECT_FALSE(starts.contains("s-0"));
+  EXPECT_GT(starts["s-9"], 0);
+}
+
+// In a whole list that names both, the one that started later counts.
+TEST_F(ReducerTest, OfTwoEnginesAtOneAddressTheLaterOneCounts) {
+  start_reducer(2);
+  EngineListing successor = engine(0);
+  successor.entry.id = "s-9";
+  successor.entry.started_at = now - 60 * kSecond;
+  apply(EnginesChanged{ListKind::kFull, {successor, engine(0), engine(1)}});
+  EXPECT_EQ(reducer->engines(), 2U);
+  for (RequestTag tag = 1; tag <= 20; ++tag) request(tag);
+  for (const SendCall& call : calls) EXPECT_NE(call.engine, "s-0");
+}
+
 // Guards against a second run under a reference that comes again after its client has left, or has its answer
 // (issue 62, c): the first run's end forgot the reference.
 TEST_F(ReducerTest, AReferenceThatMayHaveRunOnceIsNotStartedAgain) {
