--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -80,6 +80,7 @@
 void ClientConnection::read_available() {
   if (!unread_since_) unread_since_ = context_.earliest_arrival;
   calls_in_event_ = 0;
+  bool connected_checked = false;
   for (std::size_t total = 0; total < kMaxBytesPerEvent && calls_in_event_ < kMaxCallsPerEvent;) {
     if (context_.under_memory_pressure() || is_output_full()) pause();
     if (!should_read()) return watch_input(false);
@@ -93,6 +94,10 @@
     context_.counters.client_bytes_in += io_result.bytes;
     total += io_result.bytes;
     last_activity_at_ = monotonic_now();
+    // Guards against attempts for a client that has disconnected, where that lies behind bytes not read yet.
+    if (io_result.bytes == writable_span.size() && !std::exchange(connected_checked, true) &&
+        peer_has_closed(channel_.fd()))
+      return close(ConnectionEnd::kClosedIdle);
     if (!parse_frames({writable_span.data(), io_result.bytes}))
       return close_when_answered(ConnectionEnd::kUnreadable);
     if (!is_open() || closing_end_) return;
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -279,6 +279,19 @@
   EXPECT_LE(most_in_a_turn, kCallsOfATurn);
 }
 
+// Guards against attempts for a client that has closed its connection behind much that is not read yet (issue
+// 62, c): its requests were passed on, and its end was read many turns later.
+TEST_F(FrontDoorMemory, WhatAClientWroteBeforeItLeftIsNotPassedOn) {
+  open(4);
+  auto socket = client();
+  std::string all = invoke(2);
+  for (std::int32_t i = 3; i < kManyCalls; ++i) all += abort(i);
+  write(socket, all);
+  socket.close();
+  ASSERT_TRUE(run_until([this] { return count<core::ClientClosed>() == 1; }));
+  EXPECT_EQ(count<core::RequestArrived>(), 0U);
+}
+
 // Held calls would keep a client that reads nothing from ever being closed: they are refused.
 TEST_F(FrontDoorMemory, HeldCallsOfAClientThatReadsNothingAreRefusedWhenMemoryIsShort) {
   open(4);
