--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -69,6 +69,7 @@
   print_line(out, "descriptors", counters.descriptors);
   print_line(out, "bytes.client_in", counters.client_bytes_in);
   print_line(out, "bytes.client_out", counters.client_bytes_out);
+  print_line(out, "clients.writes", counters.client_writes);
   print_line(out, "bytes.engine_in", counters.engine_bytes_in);
   print_line(out, "bytes.engine_out", counters.engine_bytes_out);
   print_line(out, "bytes.change_log_in", counters.change_log_bytes_in);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -90,6 +90,7 @@
   // Bytes.
   std::uint64_t client_bytes_in = 0;
   std::uint64_t client_bytes_out = 0;
+  std::uint64_t client_writes = 0;  // in each, all that a client is owed by then
   std::uint64_t engine_bytes_in = 0;
   std::uint64_t engine_bytes_out = 0;
   std::uint64_t change_log_bytes_in = 0;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -77,7 +77,16 @@
   if (totals_.shutting_down && !paused_ && unanswered_requests() > 0) draining_ = true;
 }
 
+// Guards against a loop that is held up by clients which send many calls at once: what is answered while they
+// are read (pings, unknown methods) is written at once, not call by call.
 void ClientConnection::read_available() {
+  defers_writes_ = true;
+  read_input();
+  defers_writes_ = false;
+  if (is_open() && !output_.empty()) flush();
+}
+
+void ClientConnection::read_input() {
   if (!unread_since_) unread_since_ = context_.earliest_arrival;
   calls_in_event_ = 0;
   bool connected_checked = false;
@@ -270,10 +279,11 @@
 void ClientConnection::send(std::string_view bytes) {
   if (output_.empty()) last_activity_at_ = monotonic_now();
   output_.append(bytes);
-  flush();
+  if (!defers_writes_) flush();
 }
 
 void ClientConnection::flush() {
+  ++context_.counters.client_writes;
   std::uint64_t& written = context_.counters.client_bytes_out;
   const std::uint64_t before = written;
   const WritePosition write_position = closes_after_answers() && unanswered_requests() == 0
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -103,6 +103,7 @@
   void close_if_answered();
   bool closes_after_answers() const { return closing_end_ || draining_; }
   void read_available();
+  void read_input();
   void discard_input();
   // Reads what arrived during the pause before held calls are dispatched. False: there is more to read.
   bool catch_up();
@@ -151,6 +152,7 @@
   bool has_sent_message_ = false;
   bool paused_ = false;
   bool has_more_to_catch_up_ = false;
+  bool defers_writes_ = false;       // in read_available(): answers are written at its end
   int calls_in_event_ = 0;           // read in this call of read_available()
   bool catching_up_ = false;         // in catch_up(): reads what arrived during the pause
   bool lingering_ = false;           // closed for its owner; what still arrives is discarded
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -279,6 +279,23 @@
   EXPECT_LE(most_in_a_turn, kCallsOfATurn);
 }
 
+// Guards against turns of a fifth of a second, in which others wait, while some clients send pings at full
+// speed: each pong was a write of its own (issue 62, b and c).
+TEST_F(FrontDoorMemory, WhatIsAnsweredWhileAClientIsReadGoesOutInOneWrite) {
+  constexpr std::int32_t kPings = 1000;
+  constexpr std::uint64_t kPingsOfATurn = 32;
+  open(4);
+  auto socket = client();
+  const std::uint64_t writes_before = counters.client_writes;
+  const std::uint64_t bytes_before = counters.client_bytes_out;
+  const std::uint64_t pong_bytes = thrift::pong(2, true).size();
+  std::string all;
+  for (std::int32_t i = 0; i < kPings; ++i) all += ping(2 + i);
+  write(socket, all);
+  ASSERT_TRUE(run_until([&] { return counters.client_bytes_out == bytes_before + kPings * pong_bytes; }));
+  EXPECT_LE(counters.client_writes - writes_before, kPings / kPingsOfATurn + 1);
+}
+
 // Guards against attempts for a client that has closed its connection behind much that is not read yet (issue
 // 62, c): its requests were passed on, and its end was read many turns later.
 TEST_F(FrontDoorMemory, WhatAClientWroteBeforeItLeftIsNotPassedOn) {
