--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -32,6 +32,7 @@
 // Open queries above each client's part, and the parts of all clients together.
 constexpr std::int64_t kQueriesDivisor = 16;
 constexpr std::size_t kBytesPerQuery = 3000;
+constexpr std::size_t kMinOpenQueries = 256;      // whatever the memory
 constexpr std::size_t kClientsDivisor = 3;        // of the descriptors: clients hold a third at most
 constexpr std::size_t kReservedDescriptors = 32;  // listener, change log, signals, epoll, standard streams
 constexpr TimeUs kMaxWait = 1'000'000;
@@ -52,7 +53,7 @@
   core::ProtocolBounds bounds;
   bounds.max_remembered_keys = memory_part(config, kKeysDivisor) / kBytesPerKey;
   bounds.max_remembered_references = memory_part(config, kReferencesDivisor) / kBytesPerReference;
-  bounds.max_open_queries = memory_part(config, kQueriesDivisor) / kBytesPerQuery;
+  bounds.max_open_queries = std::max(memory_part(config, kQueriesDivisor) / kBytesPerQuery, kMinOpenQueries);
   bounds.open_queries_of_each_client =
       std::max<std::size_t>(bounds.max_open_queries / max_clients(config), 1);
   return bounds;
