--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -246,7 +246,8 @@
   const bool may_have_run = std::any_of(query.attempts.begin(), query.attempts.end(),
                                         [](const AttemptState& attempt) { return attempt.may_have_run; });
   if (class_of(query).effect == Effect::kAtMostOnce && may_have_run)
-    reference_history_.remember(query.request.reference, now_ + key_retention_of(class_of(query)));
+    reference_history_.remember(query.request.reference, now_ + key_retention_of(class_of(query)),
+                                query.served);
 }
 
 std::optional<EarlierAttempt> Reducer::earlier_try_of(const QueryState& query) const {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -126,7 +126,8 @@
     bool admitted = false;  // passed to the module; false: it still waits under its limits
     int priority = 1;
     double grant_mb = 0;
-    bool ended = false;  // answered, or no answer is owed any more
+    bool ended = false;   // answered, or no answer is owed any more
+    bool served = false;  // its answer is the result
     std::vector<AttemptState> attempts;
     std::shared_ptr<KeyStarts> key_starts;  // of its idempotency key; null: repeats need not be recognised
   };
--- a/src/core/reducer_attempts.cpp
+++ b/src/core/reducer_attempts.cpp
@@ -306,6 +306,7 @@
                                   query_class.latency_target_runtime_factor * static_cast<double>(expected);
     record_answer(query, static_cast<double>(now_ - query.accepted_at) > latency_target);
     ++counters_.served;
+    query.served = true;
     if (trace_enabled_) trace_answered(pending.query, "served", query);
     emit(AnswerServed{query.client, query.tag, std::move(attempt.result_pages)});
     end_request(query);
--- a/src/core/reference_history.h
+++ b/src/core/reference_history.h
@@ -17,17 +17,23 @@
  public:
   explicit ReferenceHistory(std::size_t max_references) : max_references_(max_references) {}
 
-  // `reference`: up to 16 hexadecimal digits.
-  void remember(const std::string& reference, TimeUs until);
+  // `reference`: up to 16 hexadecimal digits. `served`: its client has the result. Such references give way
+  // to others where there is no room.
+  void remember(const std::string& reference, TimeUs until, bool served);
   bool contains(const std::string& reference) const;
   void forget_expired(TimeUs now);
   // No further query whose reference would have to be remembered may be accepted.
-  bool full() const { return references_.size() >= max_references_; }
+  bool full() const { return unserved_.size() >= max_references_; }
 
  private:
+  using Expirations = std::set<std::pair<TimeUs, std::uint64_t>>;
+
+  void forget_first(Expirations& expirations);
+
   std::size_t max_references_;
   std::unordered_set<std::uint64_t> references_;
-  std::set<std::pair<TimeUs, std::uint64_t>> expirations_;
+  Expirations served_;
+  Expirations unserved_;
 };
 
 }  // namespace orchidgw::core
