--- a/src/config/engine_list_stream.cpp
+++ b/src/config/engine_list_stream.cpp
@@ -39,6 +39,8 @@
   return std::exchange(events_, {});
 }
 
+std::size_t EngineListStream::take_engines_left_out() { return std::exchange(engines_left_out_, 0); }
+
 void EngineListStream::step(char c) {
   if (in_string_) return step_in_string(c);
   switch (c) {
--- a/src/config/engine_list_stream.h
+++ b/src/config/engine_list_stream.h
@@ -27,7 +27,7 @@
   // out; the other engines of its event are kept.
   std::vector<EngineListEvent> take_events();
   std::size_t engines_in_events() const { return engines_in_events_; }  // of the events not taken yet
-  std::size_t engines_left_out() const { return engines_left_out_; }    // of this answer
+  std::size_t take_engines_left_out();                                  // since the last call
 
  private:
   enum class Kind { kObject, kArray };
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -154,11 +154,10 @@
   return true;
 }
 
-void ChangeLog::on_events(ChangeLogConnection& connection) { post_events(connection.take_events(), false); }
+void ChangeLog::on_events(ChangeLogConnection& connection) { post_events(take_events(connection), false); }
 
 void ChangeLog::on_answer(ChangeLogConnection& connection, std::uint64_t last) {
-  report_engines_left_out(connection);
-  const config::EngineListEvents changes{last, connection.take_events()};
+  const config::EngineListEvents changes{last, take_events(connection)};
   if (detect_log_reset(last, connection.since())) return on_end(connection, ConnectionEnd::kUnreadable);
   post_changes(changes, false);
   if (&connection == current_.get()) {  // the log answers in time (again)
@@ -177,11 +176,13 @@
   on_end(connection, ConnectionEnd::kUnreadable);
 }
 
-void ChangeLog::report_engines_left_out(const ChangeLogConnection& connection) {
-  if (connection.engines_left_out() == 0) return;
-  context_.counters.engines_left_out += connection.engines_left_out();
-  context_.log.write(log::Level::kWarn, log::Component::kNet, "change log: invalid engines left out",
-                     {{"engines", static_cast<std::int64_t>(connection.engines_left_out())}});
+std::vector<config::EngineListEvent> ChangeLog::take_events(ChangeLogConnection& connection) {
+  if (const std::size_t left_out = connection.take_engines_left_out(); left_out > 0) {
+    context_.counters.engines_left_out += left_out;
+    context_.log.write(log::Level::kWarn, log::Component::kNet, "change log: invalid engines left out",
+                       {{"engines", static_cast<std::int64_t>(left_out)}});
+  }
+  return connection.take_events();
 }
 
 void ChangeLog::on_end(ChangeLogConnection& connection, ConnectionEnd end) {
@@ -205,7 +206,7 @@
                      {{"end", name_of(end)}});
   if (!connection) return;
   // Guards against asking for the same again for ever: an answer that was cut off brings the list forward.
-  post_events(connection->take_events(), false);
+  post_events(take_events(*connection), false);
   connection->close();
   context_.pending_destruction.push_back(std::shared_ptr<ChangeLogConnection>(std::move(connection)));
 }
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -60,7 +60,7 @@
   bool detect_log_reset(std::uint64_t last, std::uint64_t since);
   void post_changes(const config::EngineListEvents& changes, bool is_initial_list);
   void post_events(const std::vector<config::EngineListEvent>& events, bool is_initial_list);
-  void report_engines_left_out(const ChangeLogConnection& connection);
+  std::vector<config::EngineListEvent> take_events(ChangeLogConnection& connection);
   void set_start_times(std::vector<core::EngineListing>& engines, bool full_list);
   void end_current(core::ConnectionEnd end);  // the next connection comes after a backoff
   void end_overdue(core::ConnectionEnd end);
--- a/src/net/change_log_connection.cpp
+++ b/src/net/change_log_connection.cpp
@@ -91,14 +91,19 @@
   owner_.on_answer(*this, last);
 }
 
+void ChangeLogConnection::check_status() const {
+  if (parser_.head().status != kStatusOk) config::throw_field_error("status", "200 is needed");
+}
+
 bool ChangeLogConnection::answer_complete(std::string_view bytes) {
   using Result = http::ResponseParser::Result;
   const Result result = parse_answer_bytes(parser_, bytes, [this](std::string_view piece) {
-    if (parser_.head().status == kStatusOk) events_.feed(piece);
+    check_status();
+    events_.feed(piece);
   });
   if (result == Result::kBroken) config::throw_field_error("answer", "HTTP/1.1 with a length is needed");
   if (result == Result::kNeedMore) return false;
-  if (parser_.head().status != kStatusOk) config::throw_field_error("status", "200 is needed");
+  check_status();
   if (!bytes.empty()) config::throw_field_error("answer", "no bytes after its end are allowed");
   return true;
 }
--- a/src/net/change_log_connection.h
+++ b/src/net/change_log_connection.h
@@ -52,7 +52,7 @@
   std::uint64_t since() const { return since_; }  // of the last poll
   // Moves out the whole events that were read since the last call, of a complete answer or not.
   std::vector<config::EngineListEvent> take_events() { return events_.take_events(); }
-  std::size_t engines_left_out() const { return events_.engines_left_out(); }  // of the last answer
+  std::size_t take_engines_left_out() { return events_.take_engines_left_out(); }  // likewise
   bool keep_alive() const { return parser_.head().keep_alive; }
 
   void on_readable() override;
@@ -63,6 +63,7 @@
  private:
   void flush();
   void read_bytes(std::string_view bytes);
+  void check_status() const;                     // throws FieldError
   bool answer_complete(std::string_view bytes);  // throws FieldError if the answer is invalid
 
   Context& context_;
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -518,7 +518,7 @@
     return misbehave(HttpReply::Behavior::kRaw,
                      "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
                      R"({"seq":3,"results":[{"seq":2,"fleet":{"members":[)" +
-                         drained + R"(]}},{"seq":3,"fleet":{"mem)");
+                         drained + R"(,{"id":7}]}},{"seq":3,"fleet":{"mem)");
   });
   options.change_log = cut_off.address();
   start();
@@ -527,6 +527,7 @@
   EXPECT_EQ(engines[0]->count("POST"), 0);
   ASSERT_TRUE(
       cut_off.wait_for([](const HttpCall& call) { return call.path.find("since=2&") != std::string::npos; }));
+  EXPECT_GT(controller->counters()["list.engines_left_out"], 0);
 }
 
 // Guards against memory that fills up with incomplete frames.
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -150,7 +150,7 @@
   stream.feed("]}");
   EXPECT_EQ(stream.finish(), 101U);
   EXPECT_EQ(engines, kEvents * kEnginesOfAnEvent);
-  EXPECT_EQ(stream.engines_left_out(), 0U);
+  EXPECT_EQ(stream.take_engines_left_out(), 0U);
 }
 
 TEST(EngineListStream, GivesTheSameEventsHoweverTheBytesAreSplit) {
@@ -163,7 +163,7 @@
     for (std::size_t at = 0; at < text.size(); at += piece)
       stream.feed(std::string_view(text).substr(at, piece));
     EXPECT_EQ(stream.finish(), 5U);
-    EXPECT_EQ(stream.engines_left_out(), 1U);
+    EXPECT_EQ(stream.take_engines_left_out(), 1U);
     const auto events = stream.take_events();
     ASSERT_EQ(events.size(), 2U);
     EXPECT_TRUE(events[0].complete);
@@ -185,7 +185,7 @@
               "\"}");
   stream.feed("]}}]}");
   EXPECT_EQ(stream.finish(), 1U);
-  EXPECT_EQ(stream.engines_left_out(), 1U);
+  EXPECT_EQ(stream.take_engines_left_out(), 1U);
 }
 
 TEST(Address, IsAnIpv4AddressAndAPort) {
