--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -160,7 +160,7 @@
   return largest;
 }
 
-void ClientListener::go_on_catching_up() {
+void ClientListener::continue_catching_up() {
   if (!std::exchange(totals_.catching_up, false)) return;
   const auto snapshot = clients_;  // clients that close themselves are removed from clients_ during the loop
   for (const auto& [id, client] : snapshot)
@@ -170,7 +170,7 @@
 
 void ClientListener::between_turns(TimeUs now) {
   reclaim_unread_answers();
-  go_on_catching_up();
+  continue_catching_up();
   end_lingering(now);
   close_disconnected_clients(now);
   if (now - last_sweep_at_ < sweep_interval()) return;
--- a/src/net/front_door.h
+++ b/src/net/front_door.h
@@ -72,7 +72,7 @@
   void pause_accepting();
   void resume_accepting();
   void reclaim_unread_answers();
-  void go_on_catching_up();
+  void continue_catching_up();
   std::shared_ptr<ClientConnection> find_answered_client_with_most_unsent() const;
   void sweep(TimeUs now);
   TimeUs sweep_interval() const;
