--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -140,6 +140,10 @@
   return bytes > thrift::kFramePrefixBytes ? bytes - thrift::kFramePrefixBytes : 0;
 }
 
+bool ClientConnection::frame_halted(TimeUs now) const {
+  return has_nothing_in_transit(now) && !has_input(channel_.fd());
+}
+
 void ClientConnection::discard_frame() {
   frame_reader_.discard_body();
   ++context_.counters.frames_discarded;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -72,6 +72,8 @@
   std::size_t unsent_bytes() const { return output_.size(); }
   // Bytes of memory that discard_frame() would free.
   std::size_t discardable_bytes() const;
+  // No byte of the unfinished frame has come for some time, and none waits to be read.
+  bool frame_halted(TimeUs now) const;
   // Frees the memory of the unfinished frame. Its request is failed once its last byte is read.
   void discard_frame();
   // Reports the end to the owner at once. Where the client may not know of it yet, the socket lingers.
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -121,17 +121,19 @@
 }
 
 // Guards against clients that fill the bound with frames which they don't finish, at the cost of the others:
-// of the frames that have come to a halt the largest goes first, then the largest of the others.
+// of the frames that have come to a halt the largest goes first, then the largest of the others. A frame
+// whose bytes wait to be read, as this process was stalled, has not come to a halt.
 std::shared_ptr<ClientConnection> ClientListener::find_frame_to_discard(TimeUs now) const {
-  std::shared_ptr<ClientConnection> candidate;
-  const auto rank = [now](const ClientConnection& client) {
-    return std::pair(client.has_nothing_in_transit(now), client.discardable_bytes());
+  std::shared_ptr<ClientConnection> halted;
+  std::shared_ptr<ClientConnection> moving;
+  const auto is_larger = [](const ClientConnection& client, const std::shared_ptr<ClientConnection>& than) {
+    return client.discardable_bytes() > (than ? than->discardable_bytes() : 0);
   };
   for (const auto& [id, client] : clients_) {
-    if (client->discardable_bytes() == 0) continue;
-    if (!candidate || rank(*client) > rank(*candidate)) candidate = client;
+    if (is_larger(*client, halted) && client->frame_halted(now)) halted = client;
+    if (is_larger(*client, moving)) moving = client;
   }
-  return candidate;
+  return halted ? halted : moving;
 }
 
 // Guards against clients that request much and read nothing: their unread answers could use all memory. A
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -261,6 +261,38 @@
   EXPECT_GE(discarded, kClientsOfEachSize - static_cast<int>(kFrameBound / kFrameBytes));
 }
 
+// Guards against taking a frame for one that halted because this process did not read it, for a stall: its
+// client would pay for what others left unfinished.
+TEST_F(FrontDoorMemory, AFrameWhoseBytesWaitToBeReadHasNotHalted) {
+  constexpr std::size_t kUsualFrameBytes = 56'000;
+  constexpr std::size_t kOtherFrameBytes = 30'000;
+  constexpr std::size_t kLateFrameBytes = 40'000;
+  constexpr std::size_t kUsualClients = 5;
+  constexpr std::size_t kOtherClients = 10;
+  constexpr std::size_t kLateClients = 20;
+  open(2 * (kUsualClients + kOtherClients + kLateClients));
+  const auto begin_frames = [this](std::size_t clients, std::size_t bytes, std::size_t written) {
+    std::vector<Poco::Net::StreamSocket> sockets;
+    for (std::size_t i = 0; i < clients; ++i) {
+      sockets.push_back(connect());
+      write(sockets.back(), invoke_of_size(2, bytes).substr(0, written));
+    }
+    return sockets;
+  };
+  auto late = begin_frames(kLateClients, kLateFrameBytes, 100);
+  auto usual = begin_frames(kUsualClients, kUsualFrameBytes, kUsualFrameBytes - 1000);
+  auto others = begin_frames(kOtherClients, kOtherFrameBytes, kOtherFrameBytes - 1000);
+  ASSERT_TRUE(run_until([turns = 0]() mutable { return ++turns > 4 * kSomeTurns; }));
+  ASSERT_EQ(counters.frames_discarded, 0U);
+  // The loop stands still while these are written.
+  for (auto& socket : late) write(socket, invoke_of_size(2, kLateFrameBytes).substr(100, kOtherFrameBytes));
+  for (auto& socket : usual)
+    write(socket, invoke_of_size(2, kUsualFrameBytes).substr(kUsualFrameBytes - 1000));
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == kUsualClients; }));
+  EXPECT_GT(counters.frames_discarded, 0U);
+  for (const core::RequestArrived* request : arrivals()) EXPECT_TRUE(request->request.has_value());
+}
+
 // Guards against memory that fills with the calls of one turn, and against others that wait behind them: as
 // much as had arrived was read at once (issue 62, b).
 TEST_F(FrontDoorMemory, FewCallsOfAClientAreReadInATurn) {
