--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -64,7 +64,8 @@
 
 // Removes engines at whose address a later one is in service: no process of theirs is left there. Guards
 // against work that is meant for the earlier process and reaches the new one, which may still be cold, where
-// the end of the earlier one is told late or never.
+// the end of the earlier one is told late or never. Of two that are told together the one that started later
+// counts.
 std::vector<EngineId> Reducer::remove_replaced_engines(const std::vector<EngineListing>& listings) {
   std::map<std::pair<std::string, std::uint16_t>, const EngineEntry*> latest;
   for (const EngineListing& listing : listings) {
@@ -75,9 +76,7 @@
   std::vector<EngineId> replaced;
   for (const auto& [id, listing] : engines_) {
     const auto found = latest.find({listing.address.host, listing.address.port});
-    if (found == latest.end() || found->second->id == id) continue;
-    const bool is_later = listing.entry.started_at > found->second->started_at;
-    replaced.push_back(is_later ? found->second->id : id);
+    if (found != latest.end() && found->second->id != id) replaced.push_back(id);
   }
   for (const EngineId& id : replaced) engines_.erase(id);
   return replaced;
--- a/tests/reducer/reducer_test.cpp
+++ b/tests/reducer/reducer_test.cpp
@@ -422,6 +422,21 @@
   EXPECT_GT(starts["s-9"], 0);
 }
 
+// What is told later counts also where its start is not told: else it would be missing once the end of the
+// engine before it is told.
+TEST_F(ReducerTest, AnEngineWithoutAStartTimeTakesThePlaceOfOneWithIt) {
+  start_reducer(1);
+  EngineListing known = engine(5);
+  known.entry.started_at = now - 60 * kSecond;
+  apply(EnginesChanged{ListKind::kDelta, {known}});
+  EngineListing successor = engine(5);
+  successor.entry.id = "s-9";
+  apply(EnginesChanged{ListKind::kDelta, {successor}});
+  known.entry.state = EngineState::kGone;
+  apply(EnginesChanged{ListKind::kDelta, {known}});
+  EXPECT_EQ(reducer->engines(), 2U);
+}
+
 // In a whole list that names both, the one that started later counts.
 TEST_F(ReducerTest, OfTwoEnginesAtOneAddressTheLaterOneCounts) {
   start_reducer(2);
