--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -135,9 +135,14 @@
   if (totals_.buffered_bytes > totals_.max_buffered_bytes) owner_.on_buffered_bytes_exceeded();
 }
 
-std::size_t ClientConnection::discardable_bytes() const {
+// Guards against clients that write slowly, at the cost of one whose frame is larger and has just begun. The
+// time on the way counts for each, so that a frame read in this turn is no lighter than a small one before
+// it.
+std::uint64_t ClientConnection::discard_weight(TimeUs now) const {
   const std::size_t bytes = frame_reader_.buffered_bytes();
-  return bytes > thrift::kFramePrefixBytes ? bytes - thrift::kFramePrefixBytes : 0;
+  if (bytes <= thrift::kFramePrefixBytes) return 0;
+  const TimeUs age = std::max<TimeUs>(now - frame_started_at_, 0) + kTransitTime;
+  return (bytes - thrift::kFramePrefixBytes) * static_cast<std::uint64_t>(age);
 }
 
 bool ClientConnection::frame_halted(TimeUs now) const {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -1,6 +1,7 @@
 // The connection of one client: reads frames and writes answers. Holds no state of a query.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <set>
@@ -70,8 +71,8 @@
   // The connection has been quiet for long enough that none of its bytes can be on the way.
   bool has_nothing_in_transit(TimeUs now) const;
   std::size_t unsent_bytes() const { return output_.size(); }
-  // Bytes of memory that discard_frame() would free.
-  std::size_t discardable_bytes() const;
+  // How much discard_frame() would free, weighted by how long the frame has been arriving; 0: nothing.
+  std::uint64_t discard_weight(TimeUs now) const;
   // No byte of the unfinished frame has come for some time, and none waits to be read.
   bool frame_halted(TimeUs now) const;
   // Frees the memory of the unfinished frame. Its request is failed once its last byte is read.
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -121,17 +121,23 @@
 }
 
 // Guards against clients that fill the bound with frames which they don't finish, at the cost of the others:
-// of the frames that have come to a halt the largest goes first, then the largest of the others. A frame
-// whose bytes wait to be read, as this process was stalled, has not come to a halt.
+// of the frames that have come to a halt the one of the largest weight goes first, then that of the others. A
+// frame whose bytes wait to be read, as this process was stalled, has not come to a halt.
 std::shared_ptr<ClientConnection> ClientListener::find_frame_to_discard(TimeUs now) const {
   std::shared_ptr<ClientConnection> halted;
   std::shared_ptr<ClientConnection> moving;
-  const auto is_larger = [](const ClientConnection& client, const std::shared_ptr<ClientConnection>& than) {
-    return client.discardable_bytes() > (than ? than->discardable_bytes() : 0);
-  };
+  std::uint64_t halted_weight = 0;
+  std::uint64_t moving_weight = 0;
   for (const auto& [id, client] : clients_) {
-    if (is_larger(*client, halted) && client->frame_halted(now)) halted = client;
-    if (is_larger(*client, moving)) moving = client;
+    const std::uint64_t weight = client->discard_weight(now);
+    if (weight > halted_weight && client->frame_halted(now)) {
+      halted = client;
+      halted_weight = weight;
+    }
+    if (weight > moving_weight) {
+      moving = client;
+      moving_weight = weight;
+    }
   }
   return halted ? halted : moving;
 }
--- a/src/thrift/frame_reader.cpp
+++ b/src/thrift/frame_reader.cpp
@@ -1,6 +1,7 @@
 #include "thrift/frame_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace orchidgw::thrift {
 namespace {
@@ -30,7 +31,7 @@
   if (length_ == 0 || length_ > max_bytes_) return Result::kBroken;  // a negative length reads as a huge one
   const std::size_t n = std::min<std::size_t>(bytes.size(), length_ - received_bytes_);
   const std::size_t room = discarding_ ? kFramePrefixBytes - std::min(body_.size(), kFramePrefixBytes) : n;
-  body_.append(bytes.substr(0, std::min(n, room)));
+  append_to_body(bytes.substr(0, std::min(n, room)));
   received_bytes_ += n;
   bytes.remove_prefix(n);
   if (received_bytes_ < length_) return Result::kNeedMore;
@@ -38,6 +39,18 @@
   return Result::kFrame;
 }
 
+// A string that grows by itself may take twice the frame's length.
+void FrameReader::append_to_body(std::string_view bytes) {
+  const std::size_t size = body_.size() + bytes.size();
+  if (size > body_.capacity()) {
+    std::string larger;
+    larger.reserve(std::min<std::size_t>(2 * size, length_));
+    larger.append(body_);
+    body_ = std::move(larger);
+  }
+  body_.append(bytes);
+}
+
 std::size_t FrameReader::missing_bytes() const {
   return in_frame() && length_bytes_ == kLengthBytes ? length_ - received_bytes_ : 0;
 }
--- a/src/thrift/frame_reader.h
+++ b/src/thrift/frame_reader.h
@@ -28,7 +28,8 @@
   void discard_body();
   // The body of the frame begun, or complete, was discarded and is longer than kFramePrefixBytes.
   bool body_discarded() const { return discarding_ && length_ > kFramePrefixBytes; }
-  // Bytes of memory that an incomplete frame takes, including the spare capacity of its string.
+  // Bytes of memory that an incomplete frame takes: those read and as many again for what is still to come,
+  // but never more than the frame's length.
   std::size_t buffered_bytes() const { return in_frame() ? body_.capacity() : 0; }
   // Bytes that are still to come of the frame begun; 0 if there is none or its length is not known yet.
   std::size_t missing_bytes() const;
@@ -36,6 +37,8 @@
   bool in_frame() const { return length_bytes_ > 0 && !complete_; }
 
  private:
+  void append_to_body(std::string_view bytes);
+
   std::size_t max_bytes_;
   std::uint32_t length_ = 0;
   int length_bytes_ = 0;
--- a/tests/unit/thrift_test.cpp
+++ b/tests/unit/thrift_test.cpp
@@ -144,6 +144,20 @@
   }
 }
 
+// Guards against a bound on unfinished frames that is half spare capacity, so that others pay earlier.
+TEST(FrameReader, AFrameTakesNoMoreMemoryThanItsLength) {
+  constexpr std::size_t kLength = 40'000;
+  constexpr std::size_t kPieceBytes = 700;
+  FrameReader reader(kLength);
+  const std::string whole = framed(std::string(kLength, 'x'));
+  for (std::size_t at = 0; at + kPieceBytes < whole.size(); at += kPieceBytes) {
+    std::string_view piece = std::string_view(whole).substr(at, kPieceBytes);
+    ASSERT_EQ(reader.feed(piece), FrameReader::Result::kNeedMore);
+    EXPECT_LE(reader.buffered_bytes(), kLength);
+    EXPECT_LE(reader.buffered_bytes(), 2 * (at + kPieceBytes));
+  }
+}
+
 TEST(FrameReader, RefusesWhatIsTooLargeNegativeOrEmpty) {
   for (const std::string& head : {std::string("\x00\x00\x00\x65", 4), std::string("\xff\xff\xff\xff", 4),
                                   std::string("\x80\x00\x00\x00", 4), std::string("\x00\x00\x00\x00", 4)}) {
