--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -116,7 +116,6 @@
   };
   if (event.discarded) return fail_discarded(event);
   if (!event.request) return unusable(event.why);
-  reference_history_.forget_expired(now_);
   const auto known = class_indexes_.find(event.request->class_name);
   if (known == class_indexes_.end()) return unusable("unknown class");
   const ClassSettings& query_class = settings_.classes[static_cast<std::size_t>(known->second)];
@@ -137,7 +136,7 @@
 // Finds requests that no engine can run: an engine answers them with an error, which says nothing about the
 // engine but would count against it. Also finds a second open query under the same reference, since giving up
 // one of the two would end the other at the engine.
-std::string Reducer::validation_error(const ClientRequest& request, const ClassSettings& query_class) const {
+std::string Reducer::validation_error(const ClientRequest& request, const ClassSettings& query_class) {
   const auto same_name = [&](const TenantSettings& t) { return t.name == request.tenant; };
   if (!settings_.tenants.empty() &&
       std::none_of(settings_.tenants.begin(), settings_.tenants.end(), same_name))
@@ -157,7 +156,7 @@
     return "the work is out of range";
   if (memory_mb > 0 && request.memory_mb > memory_mb) return "the memory is out of range";
   if (references_.count(request.reference) > 0) return "the reference is in use";
-  if (query_class.effect == Effect::kAtMostOnce && reference_history_.contains(request.reference))
+  if (query_class.effect == Effect::kAtMostOnce && reference_history_.contains(now_, request.reference))
     return "the reference was used before";
   return "";
 }
@@ -178,8 +177,7 @@
   open_requests_[{event.client, event.tag}] = id;
   ++counters_.accepted_queries;
   queries_to_check_.push_back(id);
-  if (class_of(query).effect == Effect::kAtMostOnce && reference_history_.full())
-    return refuse_request(id, Reason::kKeysFull, longest_retry_after());
+  if (class_of(query).effect == Effect::kAtMostOnce && !passes_reference_history(id)) return;
   if (class_of(query).effect == Effect::kDeduplicated && !passes_key_history(id)) return;
   if (key_lookup_ && !passes_key_check(id)) return;
   // Guards against answers after the client's time: the request may have waited unread, while this process
@@ -241,12 +239,20 @@
   return false;
 }
 
-void Reducer::remember_reference(const QueryState& query) {
+bool Reducer::passes_reference_history(QueryId id) {
+  QueryState& query = queries_.at(id);
+  query.in_reference_history = reference_history_.open(now_, query.client);
+  if (!query.in_reference_history) refuse_request(id, Reason::kKeysFull, longest_retry_after());
+  return query.in_reference_history;
+}
+
+void Reducer::close_reference(const QueryState& query) {
+  if (!query.in_reference_history) return;
   const bool may_have_run = std::any_of(query.attempts.begin(), query.attempts.end(),
                                         [](const AttemptState& attempt) { return attempt.may_have_run; });
-  if (class_of(query).effect == Effect::kAtMostOnce && may_have_run)
-    reference_history_.remember(query.request.reference, now_ + key_retention_of(class_of(query)),
-                                query.served);
+  std::optional<TimeUs> until;
+  if (may_have_run) until = now_ + key_retention_of(class_of(query));
+  reference_history_.close(query.client, query.request.reference, until);
 }
 
 std::optional<EarlierAttempt> Reducer::earlier_try_of(const QueryState& query) const {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -126,8 +126,8 @@
     bool admitted = false;  // passed to the module; false: it still waits under its limits
     int priority = 1;
     double grant_mb = 0;
-    bool ended = false;   // answered, or no answer is owed any more
-    bool served = false;  // its answer is the result
+    bool ended = false;                 // answered, or no answer is owed any more
+    bool in_reference_history = false;  // reference_history_.open() was called for it
     std::vector<AttemptState> attempts;
     std::shared_ptr<KeyStarts> key_starts;  // of its idempotency key; null: repeats need not be recognised
   };
@@ -170,9 +170,11 @@
   void on(ShutdownBegun& event);
 
   // Why a request of that class can't be accepted; empty if it can.
-  std::string validation_error(const ClientRequest& request, const ClassSettings& query_class) const;
+  std::string validation_error(const ClientRequest& request, const ClassSettings& query_class);
   void accept_request(RequestArrived& event, int class_index);
-  void remember_reference(const QueryState& query);
+  // False: the request has its answer, as no further reference can be remembered.
+  bool passes_reference_history(QueryId id);
+  void close_reference(const QueryState& query);
   bool exceeds_open_queries(ClientId client) const;
   void fail_discarded(const RequestArrived& event);
   void apply_verdict(QueryId id, const limits::Verdict& verdict);
--- a/src/core/reducer_attempts.cpp
+++ b/src/core/reducer_attempts.cpp
@@ -306,7 +306,6 @@
                                   query_class.latency_target_runtime_factor * static_cast<double>(expected);
     record_answer(query, static_cast<double>(now_ - query.accepted_at) > latency_target);
     ++counters_.served;
-    query.served = true;
     if (trace_enabled_) trace_answered(pending.query, "served", query);
     emit(AnswerServed{query.client, query.tag, std::move(attempt.result_pages)});
     end_request(query);
@@ -333,7 +332,7 @@
       key_history_.close(now_, it->second.request.idempotency_key, id,
                          key_retention_of(class_of(it->second)));
     statement_bytes_ -= it->second.request.statement.size();
-    remember_reference(it->second);
+    close_reference(it->second);
     references_.erase(it->second.request.reference);
     queries_.erase(it);
   }
--- a/src/core/reducer_levels.cpp
+++ b/src/core/reducer_levels.cpp
@@ -91,6 +91,7 @@
   const auto [first, last] = open_request_range(event.client);
   for (auto it = first; it != last; ++it) keys.push_back(it->first);
   for (const RequestKey& key : keys) abandon_request(key);
+  reference_history_.client_left(event.client);
 }
 
 // Closes a request that its client aborted, or whose client disconnected: no answer is owed.
--- a/src/core/reference_history.cpp
+++ b/src/core/reference_history.cpp
@@ -15,25 +15,33 @@
 
 }  // namespace
 
-void ReferenceHistory::remember(const std::string& reference, TimeUs until, bool served) {
-  const std::uint64_t number = number_of(reference);
-  if (references_.size() >= max_references_ && !served_.empty()) forget_first(served_);
-  if (served && references_.size() >= max_references_) return;
-  if (references_.insert(number).second) (served ? served_ : unserved_).emplace(until, number);
+bool ReferenceHistory::open(TimeUs now, ClientId client) {
+  forget_expired(now);
+  if (!shares_.admits(client, clients_.size() + open_queries_)) return false;
+  shares_.add(client);
+  ++open_queries_;
+  return true;
 }
 
-bool ReferenceHistory::contains(const std::string& reference) const {
-  return references_.contains(number_of(reference));
+void ReferenceHistory::close(ClientId client, const std::string& reference, std::optional<TimeUs> until) {
+  --open_queries_;
+  const std::uint64_t number = number_of(reference);
+  if (!until || !clients_.emplace(number, client).second) return shares_.remove(client);
+  expirations_.emplace(*until, number);
 }
 
-void ReferenceHistory::forget_expired(TimeUs now) {
-  for (Expirations* expirations : {&served_, &unserved_})
-    while (!expirations->empty() && expirations->begin()->first <= now) forget_first(*expirations);
+bool ReferenceHistory::contains(TimeUs now, const std::string& reference) {
+  forget_expired(now);
+  return clients_.contains(number_of(reference));
 }
 
-void ReferenceHistory::forget_first(Expirations& expirations) {
-  references_.erase(expirations.begin()->second);
-  expirations.erase(expirations.begin());
+void ReferenceHistory::forget_expired(TimeUs now) {
+  while (!expirations_.empty() && expirations_.begin()->first <= now) {
+    const auto expired = clients_.find(expirations_.begin()->second);
+    shares_.remove(expired->second);
+    clients_.erase(expired);
+    expirations_.erase(expirations_.begin());
+  }
 }
 
 }  // namespace orchidgw::core
--- a/src/core/reference_history.h
+++ b/src/core/reference_history.h
@@ -1,39 +1,40 @@
-// References of recent queries that may have run and must not run again, so that a client that comes again
-// under the same one, after it left or had its answer, starts nothing. In memory only.
+// References of open and recent queries that may have run and must not run again, so that a client that comes
+// again under the same one, after it left or had its answer, starts nothing. In memory only.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 
 #include "base/time.h"
+#include "core/client_shares.h"
 
 namespace orchidgw::core {
 
 class ReferenceHistory {
  public:
-  explicit ReferenceHistory(std::size_t max_references) : max_references_(max_references) {}
+  explicit ReferenceHistory(std::size_t max_references) : shares_(max_references) {}
 
-  // `reference`: up to 16 hexadecimal digits. `served`: its client has the result. Such references give way
-  // to others where there is no room.
-  void remember(const std::string& reference, TimeUs until, bool served);
-  bool contains(const std::string& reference) const;
-  void forget_expired(TimeUs now);
-  // No further query whose reference would have to be remembered may be accepted.
-  bool full() const { return unserved_.size() >= max_references_; }
+  // A query of the client is accepted whose reference may have to be remembered. False: there is no room, and
+  // the query must not be started.
+  bool open(TimeUs now, ClientId client);
+  // A query for which open() returned true is over. Its `reference`, up to 16 hexadecimal digits, is
+  // remembered until that time; none: nothing of it ran.
+  void close(ClientId client, const std::string& reference, std::optional<TimeUs> until);
+  bool contains(TimeUs now, const std::string& reference);
+  void client_left(ClientId client) { shares_.forget(client); }
 
  private:
-  using Expirations = std::set<std::pair<TimeUs, std::uint64_t>>;
-
-  void forget_first(Expirations& expirations);
+  void forget_expired(TimeUs now);
 
-  std::size_t max_references_;
-  std::unordered_set<std::uint64_t> references_;
-  Expirations served_;
-  Expirations unserved_;
+  ClientShares shares_;
+  std::size_t open_queries_ = 0;
+  std::unordered_map<std::uint64_t, ClientId> clients_;  // by reference
+  std::set<std::pair<TimeUs, std::uint64_t>> expirations_;
 };
 
 }  // namespace orchidgw::core
--- a/tests/reducer/reducer_test.cpp
+++ b/tests/reducer/reducer_test.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "core/client_shares.h"
 #include "reducer_fixture.h"
 
 namespace orchidgw::core {
@@ -470,28 +471,48 @@
   EXPECT_EQ(calls.size(), calls_before + 1);
 }
 
-// References of served queries give way, so that a client whose queries are served keeps no other from its
-// own. While no further one can be remembered, queries that would need it are refused, others served.
-TEST_F(ReducerTest, ReferencesAreRememberedWithinABound) {
+// Guards against a client whose queries fill the remembered references and keep others from starting theirs,
+// and against a reference that is forgotten, and could run again, because there is no room (issue 62, c).
+TEST_F(ReducerTest, AClientThatFillsTheRememberedReferencesAlonePays) {
+  constexpr ClientId kOther = kClient + 1;
   ProtocolBounds bounds;
-  bounds.max_remembered_references = 1;
+  bounds.max_remembered_references = 4;
   start_reducer();
   reducer = std::make_unique<Reducer>(settings, 1, counters, bounds);
   apply(EnginesChanged{ListKind::kStored, {engine(0)}});
-  request(1, "once");
-  answer(last_call().call, Kind::kServed, "x\n", 1);
-  apply(RequestArrived{kClient, 2, valid_request(1, "once"), ""});
-  EXPECT_EQ(answers[2], std::vector<std::string>{"failed the reference was used before"});
-  request(3, "once");
-  answer(last_call().call, Kind::kError);
-  EXPECT_EQ(answers[3].size(), 1U);
-  EXPECT_EQ(counters.refused, 0U);
-  const auto calls_before = calls.size();
-  request(4, "once");
+  for (RequestTag tag = 1; tag <= 4; ++tag) {
+    request(tag, "once");
+    answer(last_call().call, Kind::kServed, "x\n", 1);
+  }
+  auto calls_before = calls.size();
+  request(5, "once");
   EXPECT_EQ(counters.refusals[static_cast<std::size_t>(Reason::kKeysFull)], 1U);
   EXPECT_EQ(calls.size(), calls_before);
-  request(5, "lookup");
+  request(6, "lookup");
   EXPECT_EQ(calls.size(), calls_before + 1);
+  answer(last_call().call, Kind::kServed, "x\n", 1);
+  request(7, "once", 5 * kSecond, kOther);
+  EXPECT_EQ(calls.size(), calls_before + 2);
+  answer(last_call().call, Kind::kServed, "x\n", 1);
+  calls_before = calls.size();
+  apply(RequestArrived{kClient, 8, valid_request(1, "once"), ""});
+  EXPECT_EQ(answers[8], std::vector<std::string>{"failed the reference was used before"});
+  EXPECT_EQ(calls.size(), calls_before);
+}
+
+// Guards against a table that grows without end where its clients leave and others come.
+TEST(ClientSharesTest, AtTwiceTheCapacityNobodyMayAdd) {
+  constexpr std::size_t kCapacity = 8;
+  ClientShares shares(kCapacity);
+  std::size_t total = 0;
+  for (ClientId client = 1; client <= 100; ++client) {
+    while (shares.admits(client, total)) {
+      shares.add(client);
+      ++total;
+    }
+    shares.forget(client);
+  }
+  EXPECT_EQ(total, 2 * kCapacity);
 }
 
 // Guards against memory that fills with open queries: only clients with more than their part of them are
