--- a/src/core/key_history.cpp
+++ b/src/core/key_history.cpp
@@ -4,12 +4,14 @@
 
 namespace orchidgw::core {
 
-std::shared_ptr<KeyStarts> KeyHistory::open(TimeUs now, const std::string& key) {
+std::shared_ptr<KeyStarts> KeyHistory::open(TimeUs now, const std::string& key, ClientId client) {
   forget_expired(now);
   auto found = keys_.find(key);
   if (found == keys_.end()) {
-    if (keys_.size() >= max_keys_) return nullptr;
+    if (!shares_.admits(client, keys_.size())) return nullptr;
+    shares_.add(client);
     found = keys_.try_emplace(key).first;
+    found->second.client = client;
   }
   Entry& entry = found->second;
   if (entry.open_queries++ == 0) expirations_.erase({entry.expires_at, &found->first});
@@ -27,17 +29,22 @@
     entry.expires_at = 0;
   if (--entry.open_queries > 0) return;
   if (entry.expires_at <= now) {
-    keys_.erase(found);
+    forget(found);
   } else {
     expirations_.emplace(entry.expires_at, &found->first);
   }
 }
 
+void KeyHistory::forget(Entries::iterator entry) {
+  shares_.remove(entry->second.client);
+  keys_.erase(entry);
+}
+
 void KeyHistory::forget_expired(TimeUs now) {
   while (!expirations_.empty() && expirations_.begin()->first <= now) {
     const auto key = keys_.find(*expirations_.begin()->second);
     expirations_.erase(expirations_.begin());
-    keys_.erase(key);
+    forget(key);
   }
 }
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -228,7 +228,7 @@
 // engines recognise the repeat.
 bool Reducer::passes_key_history(QueryId id) {
   QueryState& query = queries_.at(id);
-  query.key_starts = key_history_.open(now_, query.request.idempotency_key);
+  query.key_starts = key_history_.open(now_, query.request.idempotency_key, query.client);
   if (!query.key_starts) {
     refuse_request(id, Reason::kKeysFull, longest_retry_after());
     return false;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -42,8 +42,8 @@
   // With so many open queries a client that has more than its part of them is refused further ones.
   std::size_t max_open_queries = std::numeric_limits<std::size_t>::max();
   std::size_t open_queries_of_each_client = 32;  // its part: as many are accepted from each
-  std::size_t max_remembered_references = 8192;  // of recent queries that must not run twice
-  std::size_t max_remembered_keys = 4096;        // idempotency keys of open and of recent requests
+  std::size_t max_remembered_references = 8192;  // of queries that must not run twice; see ClientShares
+  std::size_t max_remembered_keys = 4096;        // of open and of recent requests; see ClientShares
 };
 
 class Reducer final : private ActionSink {
--- a/src/core/reducer_levels.cpp
+++ b/src/core/reducer_levels.cpp
@@ -92,6 +92,7 @@
   for (auto it = first; it != last; ++it) keys.push_back(it->first);
   for (const RequestKey& key : keys) abandon_request(key);
   reference_history_.client_left(event.client);
+  key_history_.client_left(event.client);
 }
 
 // Closes a request that its client aborted, or whose client disconnected: no answer is owed.
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -29,6 +29,8 @@
 constexpr std::int64_t kReferencesDivisor = 64;  // references of queries that must not run twice
 constexpr std::size_t kBytesPerReference = 128;
 constexpr std::size_t kBytesPerKey = 640;  // at most: the key has up to 256
+// core::ClientShares may hold so many times its capacity.
+constexpr std::size_t kClientSharesFactor = 2;
 // Open queries above each client's part, and the parts of all clients together.
 constexpr std::int64_t kQueriesDivisor = 16;
 constexpr std::size_t kBytesPerQuery = 3000;
@@ -51,8 +53,9 @@
 
 core::ProtocolBounds protocol_bounds(const config::ControllerConfig& config) {
   core::ProtocolBounds bounds;
-  bounds.max_remembered_keys = memory_part(config, kKeysDivisor) / kBytesPerKey;
-  bounds.max_remembered_references = memory_part(config, kReferencesDivisor) / kBytesPerReference;
+  bounds.max_remembered_keys = memory_part(config, kKeysDivisor) / kBytesPerKey / kClientSharesFactor;
+  bounds.max_remembered_references =
+      memory_part(config, kReferencesDivisor) / kBytesPerReference / kClientSharesFactor;
   bounds.max_open_queries = std::max(memory_part(config, kQueriesDivisor) / kBytesPerQuery, kMinOpenQueries);
   bounds.open_queries_of_each_client =
       std::max<std::size_t>(bounds.max_open_queries / max_clients(config), 1);
--- a/tests/reducer/key_history_test.cpp
+++ b/tests/reducer/key_history_test.cpp
@@ -195,19 +195,45 @@
   EXPECT_LE(reducer->remembered_keys(), 2U);
 }
 
+// Guards against a client that sends ever new keys, and keeps the others' keyed queries from starting.
+TEST_F(KeyTries, AClientThatFillsTheRememberedKeysAlonePays) {
+  constexpr ClientId kOther = kClient + 1;
+  ProtocolBounds bounds;
+  bounds.max_remembered_keys = 6;
+  start_reducer();
+  reducer = std::make_unique<Reducer>(settings, 1, counters, bounds);
+  set_engines(EngineState::kInService);
+  const auto served = [&](RequestTag tag, ClientId client) {
+    const std::size_t before = start_count();
+    ClientRequest client_request = valid_request(tag, "keyed", 20 * kSecond);
+    client_request.idempotency_key = "key " + std::to_string(tag);
+    apply(RequestArrived{client, tag, client_request, ""});
+    if (start_count() == before) return false;
+    answer(last_call().call, Kind::kServed, "x\n", 1);
+    return true;
+  };
+  RequestTag tag = 0;
+  while (served(++tag, kClient)) ASSERT_LE(tag, 6);
+  EXPECT_EQ(tag, 7);
+  EXPECT_EQ(answer_to(tag), "refused");
+  EXPECT_TRUE(served(++tag, kOther));
+  EXPECT_FALSE(served(++tag, kClient));
+  EXPECT_LE(reducer->remembered_keys(), 12U);
+}
+
 TEST_F(KeyTries, AKeyIsRememberedFromItsFirstStartAlone) {
   KeyHistory history(1);
   const EngineEntry engine;
   const TimeUs retention = 50 * kSecond;
   for (QueryId query = 1; query <= 3; ++query) {
-    const auto starts = history.open(query * kSecond, "key");
+    const auto starts = history.open(query * kSecond, "key", kClient);
     ASSERT_NE(starts, nullptr);
     starts->add(query, 0, query * kSecond, engine);
     history.close(query * kSecond, "key", query, retention);
     EXPECT_EQ(starts->first_sent_at(), kSecond);
   }
-  EXPECT_EQ(history.open(kSecond + retention - 1, "another"), nullptr);
-  EXPECT_NE(history.open(kSecond + retention, "another"), nullptr);
+  EXPECT_EQ(history.open(kSecond + retention - 1, "another", kClient), nullptr);
+  EXPECT_NE(history.open(kSecond + retention, "another", kClient), nullptr);
 }
 
 }  // namespace
