--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -156,11 +156,18 @@
     return "the work is out of range";
   if (memory_mb > 0 && request.memory_mb > memory_mb) return "the memory is out of range";
   if (references_.count(request.reference) > 0) return "the reference is in use";
-  if (query_class.effect == Effect::kAtMostOnce && reference_history_.contains(now_, request.reference))
-    return "the reference was used before";
+  if (reference_ran_before(request, query_class)) return "the reference was used before";
   return "";
 }
 
+// A keyed request that comes again under its own key is recognised by that: engines drop the repeat.
+bool Reducer::reference_ran_before(const ClientRequest& request, const ClassSettings& query_class) {
+  if (query_class.effect == Effect::kIdempotent) return false;
+  if (query_class.effect == Effect::kDeduplicated && key_history_.contains(request.idempotency_key))
+    return false;
+  return reference_history_.contains(now_, request.reference);
+}
+
 void Reducer::accept_request(RequestArrived& event, int class_index) {
   const QueryId id = new_query_id();
   QueryState& query = queries_[id];
@@ -177,7 +184,7 @@
   open_requests_[{event.client, event.tag}] = id;
   ++counters_.accepted_queries;
   queries_to_check_.push_back(id);
-  if (class_of(query).effect == Effect::kAtMostOnce && !passes_reference_history(id)) return;
+  if (class_of(query).effect != Effect::kIdempotent && !passes_reference_history(id)) return;
   if (class_of(query).effect == Effect::kDeduplicated && !passes_key_history(id)) return;
   if (key_lookup_ && !passes_key_check(id)) return;
   // Guards against answers after the client's time: the request may have waited unread, while this process
