--- a/src/net/event_queue.cpp
+++ b/src/net/event_queue.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-std::size_t statement_bytes_of(const PostedEvent& posted) {
-  const auto& request = std::get<core::RequestArrived>(posted.event).request;
-  return request ? request->statement.size() : 0;
-}
-
 // Merges `next` into `merged`, the list change before it.
 void merge_list_change(core::EnginesChanged& merged, core::EnginesChanged&& next) {
   if (next.kind != ListKind::kDelta) {
@@ -34,7 +29,6 @@
 
 EventQueue::Queue& EventQueue::queue_for(const core::Event& event) {
   if (std::holds_alternative<core::EnginesChanged>(event)) return list_changes_;
-  if (std::holds_alternative<core::RequestArrived>(event)) return requests_;
   if (std::holds_alternative<core::RequestAborted>(event)) return disconnects_and_aborts_;
   if (std::holds_alternative<core::ClientClosed>(event)) return disconnects_and_aborts_;
   return outcomes_;
@@ -43,19 +37,15 @@
 // Guards against requests that outlive their client: disconnects and aborts are handled first, so a request
 // that was read before one would be acted on after it and run for nobody.
 void EventQueue::remove_requests(const core::Event& client_event) {
-  const auto is_obsolete = [&client_event](const PostedEvent& posted) {
-    const auto& request = std::get<core::RequestArrived>(posted.event);
-    if (const auto* closed = std::get_if<core::ClientClosed>(&client_event))
-      return request.client == closed->client;
-    const auto* aborted = std::get_if<core::RequestAborted>(&client_event);
-    return aborted != nullptr && request.client == aborted->client && request.tag == aborted->tag;
-  };
-  std::erase_if(requests_, is_obsolete);
-  statement_bytes_ = 0;
-  for (const PostedEvent& request : requests_) statement_bytes_ += statement_bytes_of(request);
+  if (const auto* closed = std::get_if<core::ClientClosed>(&client_event))
+    requests_.remove_all(closed->client);
+  else if (const auto* aborted = std::get_if<core::RequestAborted>(&client_event))
+    requests_.remove(aborted->client, aborted->tag);
 }
 
 void EventQueue::push(core::Event event, TimeUs at) {
+  if (auto* request = std::get_if<core::RequestArrived>(&event))
+    return requests_.push(std::move(*request), at);
   if (&queue_for(event) == &disconnects_and_aborts_) remove_requests(event);
   Queue& queue = queue_for(event);
   // Guards against sends between two list changes, based on a list that the next one supersedes: an engine
@@ -64,7 +54,6 @@
     return merge_list_change(std::get<core::EnginesChanged>(queue.back().event),
                              std::get<core::EnginesChanged>(std::move(event)));
   queue.push_back({std::move(event), at});
-  if (&queue == &requests_) statement_bytes_ += statement_bytes_of(queue.back());
 }
 
 std::optional<PostedEvent> EventQueue::pop_front_of(Queue& queue) {
@@ -82,11 +71,7 @@
   return pop_front_of(outcomes_);
 }
 
-std::optional<PostedEvent> EventQueue::next_request() {
-  auto first = pop_front_of(requests_);
-  if (first) statement_bytes_ -= statement_bytes_of(*first);
-  return first;
-}
+std::optional<PostedEvent> EventQueue::next_request() { return requests_.pop(); }
 
 bool EventQueue::empty() const {
   return list_changes_.empty() && outcomes_.empty() && disconnects_and_aborts_.empty() && requests_.empty();
--- a/src/net/event_queue.h
+++ b/src/net/event_queue.h
@@ -7,22 +7,17 @@
 #include <optional>
 
 #include "core/events.h"
-#include "decision/decision.h"
+#include "net/request_queue.h"
 
 namespace orchidgw::net {
 
-struct PostedEvent {
-  core::Event event;
-  TimeUs at = 0;  // monotonic time at which it was read
-};
-
 class EventQueue {
  public:
   void push(core::Event event, TimeUs at);
   std::optional<PostedEvent> next_non_request();  // any event but a request
   std::optional<PostedEvent> next_request();
   bool empty() const;
-  std::size_t statement_bytes() const { return statement_bytes_; }  // of the queued requests
+  std::size_t statement_bytes() const { return requests_.statement_bytes(); }  // of the queued requests
 
  private:
   using Queue = std::deque<PostedEvent>;
@@ -33,8 +28,7 @@
   Queue list_changes_;
   Queue outcomes_;
   Queue disconnects_and_aborts_;
-  Queue requests_;
-  std::size_t statement_bytes_ = 0;
+  RequestQueue requests_;
 };
 
 }  // namespace orchidgw::net
--- a/tests/unit/event_queue_test.cpp
+++ b/tests/unit/event_queue_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+
 namespace orchidgw::net {
 namespace {
 
@@ -57,6 +59,29 @@
   EXPECT_EQ(queue.statement_bytes(), 0U);
 }
 
+// Guards against turns of nearly a second, in which others wait, while many clients send requests and aborts
+// in turn: each abort went through the whole queue (issue 62, b).
+TEST(EventQueue, AnAbortTakesNoTimeForTheRequestsOfOthers) {
+  constexpr core::ClientId kClients = 330;
+  constexpr core::RequestTag kRequestsOfAClient = 48;
+  EventQueue queue;
+  const auto started_at = std::chrono::steady_clock::now();
+  for (core::ClientId client = 1; client <= kClients; ++client)
+    for (core::RequestTag tag = 1; tag <= kRequestsOfAClient; ++tag)
+      queue.push(core::RequestArrived{client, tag, std::nullopt, ""}, 10);
+  for (core::ClientId client = 1; client <= kClients; ++client)
+    for (core::RequestTag tag = 1; tag < kRequestsOfAClient; ++tag)
+      queue.push(core::RequestAborted{client, tag}, 20);
+  EXPECT_LT(std::chrono::steady_clock::now() - started_at, std::chrono::seconds(1));
+  for (core::ClientId client = 1; client <= kClients; ++client) {
+    const auto next = queue.next_request();
+    ASSERT_TRUE(next.has_value());
+    EXPECT_EQ(std::get<core::RequestArrived>(next->event).client, client);
+    EXPECT_EQ(std::get<core::RequestArrived>(next->event).tag, kRequestsOfAClient);
+  }
+  EXPECT_FALSE(queue.next_request().has_value());
+}
+
 core::EnginesChanged list(ListKind kind, std::vector<std::pair<std::string, EngineState>> engines) {
   core::EnginesChanged change;
   change.kind = kind;
