--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -17,7 +17,11 @@
 constexpr std::size_t kMaxFrameBytes = 64UL * 1024;  // of a request
 // What is read of a client at once, so that none holds up the others or fills the event queue.
 constexpr std::size_t kMaxBytesPerEvent = 8 * kBufferBytes;
-constexpr int kMaxCallsPerEvent = 32;                  // a client may have as many requests open
+constexpr std::size_t kMaxCallsPerEvent = 32;  // a client may have as many requests open
+constexpr std::size_t kMinCallsPerEvent = 2;
+// What is read in a turn, shared by the clients that write.
+constexpr std::size_t kBytesPerTurn = 1024UL * 1024;
+constexpr std::size_t kCallsPerTurn = 1024;
 constexpr std::size_t kBytesReadAtFrameEnd = 512;      // bounds the calls beyond kMaxCallsPerEvent
 constexpr std::size_t kMaxUnsentBytes = 512UL * 1024;  // of answers: beyond it the client is paused
 // From a frame's first byte; for the first frame from the connection's start.
@@ -80,6 +84,7 @@
 // Guards against a loop that is held up by clients which send many calls at once: what is answered while they
 // are read (pings, unknown methods) is written at once, not call by call.
 void ClientConnection::read_available() {
+  ++totals_.reads_in_turn;
   defers_writes_ = true;
   read_input();
   defers_writes_ = false;
@@ -90,7 +95,7 @@
   if (!unread_since_) unread_since_ = context_.earliest_arrival;
   calls_in_event_ = 0;
   bool connected_checked = false;
-  for (std::size_t total = 0; total < kMaxBytesPerEvent && calls_in_event_ < kMaxCallsPerEvent;) {
+  for (std::size_t total = 0; total < max_bytes_per_event() && calls_in_event_ < max_calls_per_event();) {
     if (context_.under_memory_pressure() || is_output_full()) pause();
     if (!should_read()) return watch_input(false);
     BufferChain in(context_.pool);
@@ -116,6 +121,16 @@
   if (!has_input(channel_.fd())) unread_since_.reset();
 }
 
+std::size_t ClientConnection::max_bytes_per_event() const {
+  const std::size_t part = kBytesPerTurn / std::max<std::size_t>(totals_.reads_in_last_turn, 1);
+  return std::clamp(part, kBufferBytes, kMaxBytesPerEvent);
+}
+
+std::size_t ClientConnection::max_calls_per_event() const {
+  const std::size_t part = kCallsPerTurn / std::max<std::size_t>(totals_.reads_in_last_turn, 1);
+  return std::clamp(part, kMinCallsPerEvent, kMaxCallsPerEvent);
+}
+
 void ClientConnection::watch_input(bool on) {
   if (!on && !unread_since_) unread_since_ = context_.earliest_arrival;
   if (on && !has_input(channel_.fd())) unread_since_.reset();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -24,6 +24,8 @@
   std::size_t paused_clients = 0;      // clients that wait for memory, or have to read their answers first
   bool shutting_down = false;          // each client is closed after its next answer
   bool catching_up = false;            // a client has more to catch up: resume_reading() in the next turn
+  std::size_t reads_in_turn = 0;       // calls of ClientConnection::read_available()
+  std::size_t reads_in_last_turn = 0;  // likewise
 };
 
 // A client is paused while memory is short or too many bytes of its answers are unsent: its calls are held or
@@ -107,6 +109,9 @@
   bool closes_after_answers() const { return closing_end_ || draining_; }
   void read_available();
   void read_input();
+  // What may be read in one call of read_available(), so that a turn stays short however many clients write.
+  std::size_t max_bytes_per_event() const;
+  std::size_t max_calls_per_event() const;
   void discard_input();
   // Reads what arrived during the pause before held calls are dispatched. False: there is more to read.
   bool catch_up();
@@ -156,7 +161,7 @@
   bool paused_ = false;
   bool has_more_to_catch_up_ = false;
   bool defers_writes_ = false;       // in read_available(): answers are written at its end
-  int calls_in_event_ = 0;           // read in this call of read_available()
+  std::size_t calls_in_event_ = 0;   // read in this call of read_available()
   bool catching_up_ = false;         // in catch_up(): reads what arrived during the pause
   bool lingering_ = false;           // closed for its owner; what still arrives is discarded
   std::size_t discarded_bytes_ = 0;  // while lingering
--- a/src/net/front_door.cpp
+++ b/src/net/front_door.cpp
@@ -177,6 +177,7 @@
 }
 
 void ClientListener::between_turns(TimeUs now) {
+  totals_.reads_in_last_turn = std::exchange(totals_.reads_in_turn, 0);
   reclaim_unread_answers();
   continue_catching_up();
   end_lingering(now);
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -337,6 +337,30 @@
   EXPECT_LE(most_in_a_turn, kCallsOfATurn);
 }
 
+// Guards against turns that grow with the number of clients that write at full speed, so that timers and the
+// others' requests wait (issue 62, b).
+TEST_F(FrontDoorMemory, ManyClientsShareWhatIsReadInATurn) {
+  constexpr std::size_t kClients = 200;
+  constexpr std::size_t kCallsOfEach = 64;
+  constexpr std::size_t kCallBytes = 600;  // more than is read at once at the end of a frame
+  constexpr std::size_t kCallsOfATurn = 2048;
+  open(kClients + 1);
+  std::vector<Poco::Net::StreamSocket> sockets;
+  for (std::size_t i = 0; i < kClients; ++i) sockets.push_back(client());
+  std::string all;
+  for (std::size_t i = 0; i < kCallsOfEach; ++i)
+    all += invoke_of_size(static_cast<std::int32_t>(2 + i), kCallBytes);
+  for (auto& socket : sockets) write(socket, all);
+  std::size_t most_in_a_turn = 0;
+  ASSERT_TRUE(run_until([&, before = std::size_t{0}]() mutable {
+    // Of the first turn it is not known yet how many clients write.
+    if (before > 0) most_in_a_turn = std::max(most_in_a_turn, events.size() - before);
+    before = events.size();
+    return events.size() == kClients * kCallsOfEach;
+  }));
+  EXPECT_LE(most_in_a_turn, kCallsOfATurn);
+}
+
 // Guards against turns of a fifth of a second, in which others wait, while some clients send pings at full
 // speed: each pong was a write of its own (issue 62, b and c).
 TEST_F(FrontDoorMemory, WhatIsAnsweredWhileAClientIsReadGoesOutInOneWrite) {
