--- a/src/config/engine_list_stream.cpp
+++ b/src/config/engine_list_stream.cpp
@@ -24,9 +24,21 @@
   return document;
 }
 
+std::optional<std::uint64_t> number_of(const rapidjson::Value& event) {
+  try {
+    const std::int64_t number = integer_or(event, "seq", 0);
+    if (number > 0) return static_cast<std::uint64_t>(number);
+  } catch (const FieldError&) {
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
-void EngineListStream::reset() { *this = EngineListStream(max_text_bytes_); }
+void EngineListStream::reset(std::uint64_t since) {
+  *this = EngineListStream(max_text_bytes_);
+  last_number_ = since;
+}
 
 void EngineListStream::feed(std::string_view bytes) {
   for (const char c : bytes) step(c);
@@ -41,6 +53,10 @@
 
 std::size_t EngineListStream::take_engines_left_out() { return std::exchange(engines_left_out_, 0); }
 
+std::size_t EngineListStream::take_events_with_bad_fields() {
+  return std::exchange(events_with_bad_fields_, 0);
+}
+
 void EngineListStream::step(char c) {
   if (in_string_) return step_in_string(c);
   switch (c) {
@@ -126,11 +142,27 @@
   }
 }
 
+// Guards against an event that can't be read and is asked for again for ever, with all that come after it:
+// the drains in it and after it would never be heard.
+std::optional<EngineListEvent> EngineListStream::read_event(const std::string& text) {
+  const rapidjson::Document event = parse_json(text);
+  const auto number = number_of(event);
+  last_number_ = number.value_or(last_number_ + 1);
+  try {
+    auto read = read_engine_list_event(event);
+    if (read && number) return read;
+    if (!read) return std::nullopt;
+  } catch (const FieldError&) {
+  }
+  ++events_with_bad_fields_;
+  return EngineListEvent{last_number_, false, {}};
+}
+
 void EngineListStream::end_event() {
   const std::string text = std::move(*event_text_);
   event_text_.reset();
   for (const char c : kPlaceholder) append(c);
-  auto event = read_engine_list_event(parse_json(text));
+  auto event = read_event(text);
   auto engines = std::exchange(engines_, {});
   if (!event) return;
   event->engines.insert(event->engines.end(), std::make_move_iterator(engines.begin()),
--- a/src/config/engine_list_stream.h
+++ b/src/config/engine_list_stream.h
@@ -17,7 +17,8 @@
   // `max_text_bytes`: of an event, and of the answer, without the texts of their engines and events.
   explicit EngineListStream(std::size_t max_text_bytes) : max_text_bytes_(max_text_bytes) {}
 
-  void reset();  // prepares for the next answer
+  // Prepares for the next answer, which holds the events after number `since`.
+  void reset(std::uint64_t since = 0);
   // Both throw FieldError if the answer is no list of events; the events that were whole by then can be
   // taken.
   void feed(std::string_view bytes);
@@ -28,6 +29,9 @@
   std::vector<EngineListEvent> take_events();
   std::size_t engines_in_events() const { return engines_in_events_; }  // of the events not taken yet
   std::size_t take_engines_left_out();                                  // since the last call
+  // Events since the last call whose number or flag can't be read. They count as the next in order, and as
+  // changes.
+  std::size_t take_events_with_bad_fields();
 
  private:
   enum class Kind { kObject, kArray };
@@ -45,6 +49,7 @@
   bool at_engine() const;  // an object that begins here is an engine
   void end_engine();
   void end_event();
+  std::optional<EngineListEvent> read_event(const std::string& text);
 
   std::size_t max_text_bytes_;
   std::vector<Container> containers_;  // outermost first
@@ -59,6 +64,8 @@
   std::vector<EngineListEvent> events_;
   std::size_t engines_in_events_ = 0;
   std::size_t engines_left_out_ = 0;
+  std::size_t events_with_bad_fields_ = 0;
+  std::uint64_t last_number_ = 0;  // of the events before the one that is being read
 };
 
 }  // namespace orchidgw::config
--- a/src/metrics/counters.cpp
+++ b/src/metrics/counters.cpp
@@ -86,6 +86,7 @@
   print_line(out, "list.calls", counters.change_log_calls);
   print_line(out, "list.overdue_answers", counters.change_log_overdue);
   print_line(out, "list.engines_left_out", counters.engines_left_out);
+  print_line(out, "list.events_with_bad_fields", counters.events_with_bad_fields);
   print_line(out, "config.reloads", counters.reloads);
   print_line(out, "config.reloads_failed", counters.reloads_failed);
   print_line(out, "loop.wall_clock_steps", counters.wall_clock_steps);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -105,9 +105,10 @@
   // The engine list, configuration reloads, the event loop.
   std::uint64_t list_changes = 0;
   std::uint64_t change_log_calls = 0;
-  std::uint64_t change_log_overdue = 0;  // answers that were overdue, whether they came later or not
-  std::uint64_t engines_left_out = 0;    // invalid ones in answers of the change log
-  std::uint64_t reloads = 0;             // SIGHUP
+  std::uint64_t change_log_overdue = 0;      // answers that were overdue, whether they came later or not
+  std::uint64_t engines_left_out = 0;        // invalid ones in answers of the change log
+  std::uint64_t events_with_bad_fields = 0;  // of the change log: their number or flag could not be read
+  std::uint64_t reloads = 0;                 // SIGHUP
   std::uint64_t reloads_failed = 0;
   std::uint64_t wall_clock_steps = 0;
   std::uint64_t turns = 0;
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -182,6 +182,11 @@
     context_.log.write(log::Level::kWarn, log::Component::kNet, "change log: invalid engines left out",
                        {{"engines", static_cast<std::int64_t>(left_out)}});
   }
+  if (const std::size_t bad = connection.take_events_with_bad_fields(); bad > 0) {
+    context_.counters.events_with_bad_fields += bad;
+    context_.log.write(log::Level::kWarn, log::Component::kNet, "change log: events with bad fields",
+                       {{"events", static_cast<std::int64_t>(bad)}});
+  }
   return connection.take_events();
 }
 
--- a/src/net/change_log_connection.cpp
+++ b/src/net/change_log_connection.cpp
@@ -34,7 +34,7 @@
 void ChangeLogConnection::send_poll(std::uint64_t since, TimeUs timeout) {
   since_ = since;
   parser_.reset();
-  events_.reset();
+  events_.reset(since);
   unsent_.append(http::write_changes_call(address_, since, timeout));
   ++context_.counters.change_log_calls;
   flush();
--- a/src/net/change_log_connection.h
+++ b/src/net/change_log_connection.h
@@ -52,7 +52,8 @@
   std::uint64_t since() const { return since_; }  // of the last poll
   // Moves out the whole events that were read since the last call, of a complete answer or not.
   std::vector<config::EngineListEvent> take_events() { return events_.take_events(); }
-  std::size_t take_engines_left_out() { return events_.take_engines_left_out(); }  // likewise
+  std::size_t take_engines_left_out() { return events_.take_engines_left_out(); }              // likewise
+  std::size_t take_events_with_bad_fields() { return events_.take_events_with_bad_fields(); }  // likewise
   bool keep_alive() const { return parser_.head().keep_alive; }
 
   void on_readable() override;
--- a/tests/integration/controller_test.cpp
+++ b/tests/integration/controller_test.cpp
@@ -531,6 +531,26 @@
   EXPECT_GT(controller->counters()["list.engines_left_out"], 0);
 }
 
+// Guards against an event with a bad field that hides the drains after it for ever.
+TEST_F(Running, ADrainIsHeardBehindAnEventWithABadField) {
+  add_engine(serve_all);
+  add_engine(serve_all);
+  const std::string drained = member_json("s-0", engines[0]->address(), "terminating");
+  HttpStandIn bad_field([drained](const HttpCall& call) {
+    if (call.path.find("since=1&") == std::string::npos) return reply(200, {}, R"({"seq":3,"results":[]})");
+    return reply(200, {},
+                 R"({"seq":3,"results":[{"seq":"2","fleet":{"members":[]}},{"seq":3,"fleet":{"members":[)" +
+                     drained + "]}}]}");
+  });
+  options.change_log = bad_field.address();
+  start();
+  ASSERT_TRUE(bad_field.wait_for(
+      [](const HttpCall& call) { return call.path.find("since=3&") != std::string::npos; }));
+  EXPECT_EQ(ask().kind, Kind::kServed);
+  EXPECT_EQ(engines[0]->count("POST"), 0);
+  EXPECT_EQ(controller->counters()["list.events_with_bad_fields"], 1);
+}
+
 // Guards against memory that fills up with incomplete frames.
 TEST_F(Running, UnfinishedFramesShareABound) {
   add_engine(serve_all);
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -173,6 +173,27 @@
   }
 }
 
+// Guards against an event that can't be read and is asked for again for ever, with all that come after it:
+// the drains in them were never heard (review/7).
+TEST(EngineListStream, AnEventWithBadFieldsCountsAsTheNextInOrder) {
+  const std::string text =
+      R"({"seq":8,"results":[{"seq":"x","fleet":{"complete":false,"members":[{"id":"a","phase":"terminated"}]}},)"
+      R"({"seq":7,"fleet":{"complete":"no","members":[{"id":"b","phase":"terminated"}]}},)"
+      R"({"seq":8,"fleet":{"members":[{"id":"c","phase":"terminated"}]}}]})";
+  EngineListStream stream(text.size());
+  stream.reset(5);
+  stream.feed(text);
+  EXPECT_EQ(stream.finish(), 8U);
+  const auto events = stream.take_events();
+  ASSERT_EQ(events.size(), 3U);
+  for (std::size_t i = 0; i < events.size(); ++i) {
+    EXPECT_EQ(events[i].number, 6 + i);
+    EXPECT_FALSE(events[i].complete);
+    EXPECT_EQ(events[i].engines.at(0).entry.id, std::string(1, static_cast<char>('a' + i)));
+  }
+  EXPECT_EQ(stream.take_events_with_bad_fields(), 2U);
+}
+
 TEST(EngineListStream, WhatItKeepsBesidesEnginesHasABound) {
   EngineListStream stream(100);
   EXPECT_THROW(stream.feed(std::string(101, ' ')), FieldError);
