--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -17,6 +17,7 @@
       counters_(counters),
       bounds_(bounds),
       module_(make_workload_budget(settings, seed)),
+      query_shares_(bounds.max_open_queries),
       reference_history_(bounds.max_remembered_references),
       key_history_(bounds.max_remembered_keys),
       limiter_(settings, seed) {
@@ -169,6 +170,8 @@
 }
 
 void Reducer::accept_request(RequestArrived& event, int class_index) {
+  // Guards against memory that fills with open queries, at the cost of those clients alone that have many.
+  const bool has_room = query_shares_.admits(event.client, queries_.size());
   const QueryId id = new_query_id();
   QueryState& query = queries_[id];
   query.id = id;
@@ -182,6 +185,7 @@
   statement_bytes_ += query.request.statement.size();
   references_.insert(query.request.reference);
   open_requests_[{event.client, event.tag}] = id;
+  query_shares_.add(event.client);
   ++counters_.accepted_queries;
   queries_to_check_.push_back(id);
   if (class_of(query).effect != Effect::kIdempotent && !passes_reference_history(id)) return;
@@ -197,8 +201,7 @@
   if (query.request.time_budget <= 0) return refuse_request(id, Reason::kShutDown, longest_retry_after());
   if (event.refusal_reason != Reason::kNone)
     return refuse_request(id, event.refusal_reason, longest_retry_after());
-  if (exceeds_open_queries(event.client))
-    return refuse_request(id, Reason::kQueriesFull, longest_retry_after());
+  if (!has_room) return refuse_request(id, Reason::kQueriesFull, longest_retry_after());
   const ClientRequest& r = query.request;
   if (levels_.has_levels()) {
     levels_.meters()->query_arrived(now_, r.class_name, r.tenant);
@@ -212,12 +215,6 @@
   apply_verdict(id, verdict);
 }
 
-// Guards against memory that fills with open queries, at the cost of those clients alone that have many.
-bool Reducer::exceeds_open_queries(ClientId client) const {
-  return queries_.size() > bounds_.max_open_queries &&
-         open_requests_of(client) > bounds_.open_queries_of_each_client;
-}
-
 void Reducer::set_final_answer_timer(QueryId id, TimeUs due) {
   const bool shut_down_before = shutdown_answer_by_ < due;
   const TimerKind kind = shut_down_before ? TimerKind::kShutDown : TimerKind::kOverdue;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -6,7 +6,6 @@
 
 #include <deque>
 #include <functional>
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,6 +14,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "core/client_shares.h"
 #include "core/effects.h"
 #include "core/events.h"
 #include "core/key_history.h"
@@ -39,9 +39,7 @@
   int max_failed_calls = 8;  // so many failed calls in a row are retried; one more gives the attempt up
   std::size_t max_result_bytes = 48'000;  // all pages of one result together
   std::size_t max_open_requests_per_client = 32;
-  // With so many open queries a client that has more than its part of them is refused further ones.
-  std::size_t max_open_queries = std::numeric_limits<std::size_t>::max();
-  std::size_t open_queries_of_each_client = 32;  // its part: as many are accepted from each
+  std::size_t max_open_queries = 1'000'000;      // of all clients; see ClientShares
   std::size_t max_remembered_references = 8192;  // of queries that must not run twice; see ClientShares
   std::size_t max_remembered_keys = 4096;        // of open and of recent requests; see ClientShares
 };
@@ -177,7 +175,6 @@
   // False: the request has its answer, as no further reference can be remembered.
   bool passes_reference_history(QueryId id);
   void close_reference(const QueryState& query);
-  bool exceeds_open_queries(ClientId client) const;
   void fail_discarded(const RequestArrived& event);
   void apply_verdict(QueryId id, const limits::Verdict& verdict);
   void pass_to_module(QueryId id);
@@ -299,6 +296,7 @@
   std::vector<QueryId> queries_to_check_;  // erased after the event if they are finished
   // References of all queries, so that an engine never has two under the same one.
   std::unordered_set<std::string> references_;
+  ClientShares query_shares_;  // of open requests
   ReferenceHistory reference_history_;
   KeyHistory key_history_;
   limits::Limiter limiter_;
--- a/src/core/reducer_levels.cpp
+++ b/src/core/reducer_levels.cpp
@@ -111,7 +111,7 @@
 
 void Reducer::end_request(QueryState& query) {
   query.ended = true;
-  open_requests_.erase({query.client, query.tag});
+  if (open_requests_.erase({query.client, query.tag}) > 0) query_shares_.remove(query.client);
 }
 
 }  // namespace orchidgw::core
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t kBytesPerKey = 640;  // at most: the key has up to 256
 // core::ClientShares may hold so many times its capacity.
 constexpr std::size_t kClientSharesFactor = 2;
-// Open queries above each client's part, and the parts of all clients together.
+// Open queries; core::ClientShares may hold twice as many.
 constexpr std::int64_t kQueriesDivisor = 16;
 constexpr std::size_t kBytesPerQuery = 3000;
 constexpr std::size_t kMinOpenQueries = 256;      // whatever the memory
@@ -57,8 +57,6 @@
   bounds.max_remembered_references =
       memory_part(config, kReferencesDivisor) / kBytesPerReference / kClientSharesFactor;
   bounds.max_open_queries = std::max(memory_part(config, kQueriesDivisor) / kBytesPerQuery, kMinOpenQueries);
-  bounds.open_queries_of_each_client =
-      std::max<std::size_t>(bounds.max_open_queries / max_clients(config), 1);
   return bounds;
 }
 
