--- a/src/core/key_history.h
+++ b/src/core/key_history.h
@@ -33,7 +33,6 @@
   // its first start, and forgotten at once if nothing that was started under it may have run.
   void close(TimeUs now, const std::string& key, QueryId query, TimeUs retention);
 
-  bool contains(const std::string& key) const { return keys_.contains(key); }
   void client_left(ClientId client) { shares_.forget(client); }
 
   std::size_t size() const { return keys_.size(); }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -157,18 +157,11 @@
     return "the work is out of range";
   if (memory_mb > 0 && request.memory_mb > memory_mb) return "the memory is out of range";
   if (references_.count(request.reference) > 0) return "the reference is in use";
-  if (reference_ran_before(request, query_class)) return "the reference was used before";
+  if (query_class.effect != Effect::kIdempotent && reference_history_.contains(now_, request.reference))
+    return "the reference was used before";
   return "";
 }
 
-// A keyed request that comes again under its own key is recognised by that: engines drop the repeat.
-bool Reducer::reference_ran_before(const ClientRequest& request, const ClassSettings& query_class) {
-  if (query_class.effect == Effect::kIdempotent) return false;
-  if (query_class.effect == Effect::kDeduplicated && key_history_.contains(request.idempotency_key))
-    return false;
-  return reference_history_.contains(now_, request.reference);
-}
-
 void Reducer::accept_request(RequestArrived& event, int class_index) {
   // Guards against memory that fills with open queries, at the cost of those clients alone that have many.
   const bool has_room = query_shares_.admits(event.client, queries_.size());
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -169,8 +169,6 @@
 
   // Why a request of that class can't be accepted; empty if it can.
   std::string validation_error(const ClientRequest& request, const ClassSettings& query_class);
-  // A query under the request's reference may have run, and the request would not be known for its repeat.
-  bool reference_ran_before(const ClientRequest& request, const ClassSettings& query_class);
   void accept_request(RequestArrived& event, int class_index);
   // False: the request has its answer, as no further reference can be remembered.
   bool passes_reference_history(QueryId id);
--- a/tests/reducer/key_history_test.cpp
+++ b/tests/reducer/key_history_test.cpp
@@ -195,9 +195,10 @@
   EXPECT_LE(reducer->remembered_keys(), 2U);
 }
 
-// Guards against a query that runs twice because its reference comes again under another key, after its
-// client has left (issue 62, c): engines know a repeat by its key alone.
-TEST_F(KeyTries, AReferenceThatMayHaveRunIsNotStartedUnderAnotherKey) {
+// Guards against an id that is sent to engines twice because it comes again after its client has left, under
+// its own key or another (issue 62, c): engines know a repeat by its key alone, and clients give each try a
+// new reference.
+TEST_F(KeyTries, AReferenceThatMayHaveRunIsNotStartedAgainWhateverItsKey) {
   start_reducer();
   set_engines(EngineState::kInService);
   ClientRequest client_request = valid_request(1, "keyed", 20 * kSecond);
@@ -209,13 +210,15 @@
   end_call(start, ConnectionEnd::kDropped);
   answer(last_call().call, Kind::kDone);
   ASSERT_EQ(reducer->queries(), 0U);
-  client_request.idempotency_key = "key 2";
-  apply(RequestArrived{kClient + 1, 2, client_request, ""});
-  EXPECT_EQ(answers[2], std::vector<std::string>{"failed the reference was used before"});
+  RequestTag tag = 1;
+  for (const char* key : {"key 2", "key 1"}) {
+    client_request.idempotency_key = key;
+    apply(RequestArrived{kClient + 1, ++tag, client_request, ""});
+    EXPECT_EQ(answers[tag], std::vector<std::string>{"failed the reference was used before"});
+  }
   EXPECT_EQ(start_count(), 1U);
-  client_request.idempotency_key = "key 1";
-  apply(RequestArrived{kClient + 1, 3, client_request, ""});
-  EXPECT_EQ(start_count(), 2U);  // a repeat, which the engines drop
+  try_key(++tag, "key 1");
+  EXPECT_EQ(start_count(), 2U);  // a try of its own, which the engines drop
 }
 
 // Guards against a client that sends ever new keys, and keeps the others' keyed queries from starting.
