--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -414,13 +414,21 @@
     if (confirm_quiet()) close(ConnectionEnd::kSilent);
     return;
   }
-  if (frame_reader_.in_frame() && !paused_ && frame_overdue)
-    return close_when_answered(ConnectionEnd::kSilent);
+  if (frame_reader_.in_frame() && !paused_ && frame_overdue) return end_overdue_frame(now);
   if (output_.empty() || now - last_activity_at_ <= kUnreadTimeout) return;
   refuse_held_calls();
   if (is_open() && unanswered_requests() == 0) close(ConnectionEnd::kSilent);
 }
 
+// Guards against closing a client over bytes that wait to be read, as this process was stalled or others are
+// read first: its frame may be complete, and what it writes after the close would never be read.
+void ClientConnection::end_overdue_frame(TimeUs now) {
+  on_readable();
+  if (!is_open() || closing_end_ || paused_ || !frame_reader_.in_frame()) return;
+  const bool is_same_frame = now - frame_started_at_ > kFrameTimeout;
+  if (is_same_frame && !has_input(channel_.fd())) close_when_answered(ConnectionEnd::kSilent);
+}
+
 void ClientConnection::shut_down(TimeUs now, bool force) {
   if (!is_open() || closing_end_) return;
   if (!paused_) on_readable();  // reads for the last time
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -127,6 +127,8 @@
   bool can_hold_more() const;
   bool reads_for_aborts() const;
   bool should_read() const { return !paused_ || can_hold_more() || reads_for_aborts(); }
+  // Closes a client whose frame has taken too long, unless more of it waits to be read.
+  void end_overdue_frame(TimeUs now);
   void count_buffered_bytes();
   void update_buffered_bytes();
   void count_invalid_request();
--- a/tests/integration/front_door_memory_test.cpp
+++ b/tests/integration/front_door_memory_test.cpp
@@ -337,6 +337,22 @@
   EXPECT_LE(most_in_a_turn, kCallsOfATurn);
 }
 
+// Guards against a client that is closed for a slow frame although the rest of it waits to be read: it would
+// never be, nor what the client writes behind it (issue 62, a).
+TEST_F(FrontDoorMemory, AFrameWhoseRestWaitsToBeReadIsNotOverdue) {
+  constexpr std::size_t kFrameBytes = 60'000;
+  constexpr auto kStall = std::chrono::milliseconds(2300);  // longer than a frame may take
+  open(4);
+  auto socket = client();
+  const std::string frame = invoke_of_size(2, kFrameBytes);
+  write(socket, frame.substr(0, kFrameBytes / 2));
+  ASSERT_TRUE(run_some_turns());
+  write(socket, frame.substr(kFrameBytes / 2) + invoke_of_size(3, kFrameBytes));
+  std::this_thread::sleep_for(kStall);  // the loop stands still
+  ASSERT_TRUE(run_until([this] { return count<core::RequestArrived>() == 2; }));
+  EXPECT_EQ(ends(core::ConnectionEnd::kSilent), 0U);
+}
+
 // Guards against turns that grow with the number of clients that write at full speed, so that timers and the
 // others' requests wait (issue 62, b).
 TEST_F(FrontDoorMemory, ManyClientsShareWhatIsReadInATurn) {
