--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -181,8 +181,8 @@
   query_shares_.add(event.client);
   ++counters_.accepted_queries;
   queries_to_check_.push_back(id);
-  if (class_of(query).effect != Effect::kIdempotent && !passes_reference_history(id)) return;
   if (class_of(query).effect == Effect::kDeduplicated && !passes_key_history(id)) return;
+  if (class_of(query).effect != Effect::kIdempotent && !passes_reference_history(id)) return;
   if (key_lookup_ && !passes_key_check(id)) return;
   // Guards against answers after the client's time: the request may have waited unread, while this process
   // was stalled or memory was short.
--- a/tests/reducer/key_history_test.cpp
+++ b/tests/reducer/key_history_test.cpp
@@ -221,6 +221,21 @@
   EXPECT_EQ(start_count(), 2U);  // a try of its own, which the engines drop
 }
 
+// Guards against a refusal, which says that a retry is harmless, of a try whose earlier one may have run and
+// whose window is over, because no further reference can be remembered.
+TEST_F(KeyTries, ATryAfterTheWindowIsFailedAlsoWhereReferencesAreFull) {
+  ProtocolBounds bounds;
+  bounds.max_remembered_references = 1;
+  start_reducer();
+  reducer = std::make_unique<Reducer>(settings, 1, counters, bounds);
+  set_engines(EngineState::kInService);
+  lose_first_try();
+  run_until(first_sent_at + kWindow + kSecond);
+  try_key(2);
+  EXPECT_EQ(answer_to(2), "failed");
+  EXPECT_EQ(start_count(), 0U);
+}
+
 // Guards against a client that sends ever new keys, and keeps the others' keyed queries from starting.
 TEST_F(KeyTries, AClientThatFillsTheRememberedKeysAlonePays) {
   constexpr ClientId kOther = kClient + 1;
