--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -57,7 +57,7 @@
   app.fallthrough();  // these options may stand before or after the command
   app.add_subcommand("serve", "serve until SIGTERM; the default without a command");
   CLI::App* check =
-      app.add_subcommand("check", "check all files as a start or a reload would, and print all errors found");
+      app.add_subcommand("check", "check all files as a start would, and print all errors found");
   CLI::App* explain = app.add_subcommand(
       "explain",
       "print the limits that apply to one kind of query, each with the line, setting or rule that set it");
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -8,7 +8,7 @@
 namespace orchidgw::cli {
 std::optional<configuration::Configuration> load(const configuration::Sources& sources, std::ostream& err) {
   try {
-    return configuration::load(sources, nullptr);
+    return configuration::load(sources);
   } catch (const configuration::ConfigurationError& e) {
     for (const std::string& line : e.lines()) err << "orchidgw: " << line << '\n';
   } catch (const std::exception& e) {
@@ -24,8 +24,8 @@
   if (loaded->fleet)
     out << "fleet " << loaded->fleet->name << ": " << loaded->fleet->keepers.size() << " keepers, "
         << loaded->fleet->largest << " controllers at the most; ";
-  if (loaded->limits) {
-    out << loaded->limits->routes().size() - 1 << " routes and the defaults\n";
+  if (loaded->operators.limits) {
+    out << loaded->operators.limits->routes().size() - 1 << " routes and the defaults\n";
   } else {
     out << "no operators' file is named\n";
   }
@@ -44,7 +44,7 @@
     return kExitFailure;
   }
   const ExplainOptions& options = line.explain;
-  const auto explained = limits::explain(settings, loaded->limits.get(),
+  const auto explained = limits::explain(settings, loaded->operators.limits.get(),
                                          static_cast<int>(class_settings - settings.classes.begin()),
                                          options.tenant, options.table, options.has_key);
   out << "route: " << explained.route << '\n';
--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -56,7 +56,7 @@
   const auto loaded = load(sources, err);
   if (!loaded) return kExitFailure;
   try {
-    if (!loaded->levels || loaded->levels->levels.empty())
+    if (!loaded->operators.levels || loaded->operators.levels->levels.empty())
       throw std::runtime_error("the operators' file states no levels");
     std::ifstream file;
     if (signals_path != "-") {
@@ -65,10 +65,10 @@
     }
     try {
       service_level::Recording recording(signals_path == "-" ? std::cin : file);
-      for (const service_level::SignalKey& key : service_level::signals_of(*loaded->levels))
+      for (const service_level::SignalKey& key : service_level::signals_of(*loaded->operators.levels))
         if (!recording.has(key))
           err << "orchidgw: the recording lacks " << column_name(key) << ": its value is unknown\n";
-      replay_recording(*loaded->levels, recording, out);
+      replay_recording(*loaded->operators.levels, recording, out);
     } catch (const std::runtime_error& e) {
       throw std::runtime_error(signals_path + ": " + e.what());
     }
--- a/src/config/controller_config.h
+++ b/src/config/controller_config.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "config/fleet_changes.h"
 #include "core/engine_listing.h"
@@ -24,9 +26,30 @@
   std::string fleet_file;     // path of the fleet file; empty: not set here
 };
 
-// Both throw FieldError with the name of the bad field. load_controller_config also throws SystemCallError if
-// the file can't be read for a reason that may pass, and applies BALANCER_NAME and BALANCER_LISTEN.
+// What a running controller takes over from a new version of the file. Each field is read by itself, so that
+// a fault in one does not keep another from being taken over; all other fields take effect at the next start.
+struct ReloadedConfig {
+  std::optional<core::Address> change_log;              // nullopt: it has a fault
+  std::optional<EngineListEvents> initial_engine_list;  // nullopt: it has a fault
+  // Empty: the file states none. nullopt: keep the one in force, as the field has a fault, or is missing from
+  // a file that has one.
+  std::optional<std::string> operator_file;
+  std::optional<std::string> fleet_file;
+  std::vector<std::string> faults;  // of the fields above, a line each
+  std::vector<std::string>
+      start_faults;  // of a field that only a start reads; looked for if `faults` is empty
+};
+
+// The size of the file, in bytes, that a memory limit allows.
+std::size_t max_config_bytes(std::int64_t memory_mb);
+
+// All throw FieldError with the name of the bad field; parse_reloaded_config only if the text is no JSON
+// object. The calls that load a file also name it, and throw SystemCallError if it can't be read for a reason
+// that may pass. load_controller_config applies BALANCER_NAME and BALANCER_LISTEN. `memory_mb`: the limit in
+// force.
 ControllerConfig parse_controller_config(const std::string& text);
 ControllerConfig load_controller_config(const std::string& path);
+ReloadedConfig parse_reloaded_config(const std::string& text);
+ReloadedConfig load_reloaded_config(const std::string& path, std::int64_t memory_mb);
 
 }  // namespace orchidgw::config
--- a/src/operator_file/loader.cpp
+++ b/src/config/load_file.cpp
@@ -1,3 +1,5 @@
+#include "config/load_file.h"
+
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -8,10 +10,8 @@
 
 #include "base/descriptor.h"
 #include "base/system_call.h"
-#include "operator_file/operator_file.h"
-#include "operator_file/yaml_tree.h"
 
-namespace orchidgw::operator_file {
+namespace orchidgw::config {
 namespace {
 
 constexpr int kMaxReads = 5;  // of a file that changes while it is read
@@ -66,4 +66,12 @@
   fail(path, "it changed each time while it was read");
 }
 
-}  // namespace orchidgw::operator_file
+std::string load_file_or_pipe(const std::string& path, std::size_t max_bytes) {
+  const Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (file.get() < 0) throw_system_error(path);
+  struct stat state {};
+  if (::fstat(file.get(), &state) != 0) throw_system_error(path);
+  return S_ISFIFO(state.st_mode) ? read_all(path, file.get(), max_bytes) : load_file(path, max_bytes);
+}
+
+}  // namespace orchidgw::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -38,17 +38,16 @@
 class Service {
  public:
   explicit Service(const Sources& sources)
-      : configuration_(orchidgw::configuration::load(sources, nullptr)),
+      : configuration_(orchidgw::configuration::load(sources)),
         stderr_output_(STDERR_FILENO),
         log_stream_(&stderr_output_),
-        log_(log_stream_, configuration_.log.level, configuration_.controller.name) {
+        log_(log_stream_, configuration_.operators.log.level, configuration_.controller.name) {
     const auto& listen = configuration_.controller.listen;
     orchidgw::Descriptor listener = orchidgw::net::bind_at(listen);
     const int listener_fd = listener.get();
     controller_ = std::make_unique<orchidgw::net::Controller>(
-        configuration_, std::move(listener), log_, [&sources](const orchidgw::Settings& running) {
-          return orchidgw::configuration::load(sources, &running);
-        });
+        configuration_, std::move(listener), log_,
+        orchidgw::configuration::Reloader(sources, configuration_));
     if (configuration_.fleet) join_fleet();
     if (!sources.intents.empty()) controller_->open_intent_store(sources.intents);
     if (!sources.admin.empty()) controller_->open_admin(sources.admin);
--- a/src/net/change_log.cpp
+++ b/src/net/change_log.cpp
@@ -93,11 +93,10 @@
 
 // Guards against waiting on the old address, which keeps its connections open for a while without sending any
 // further events.
-void ChangeLog::change_address(core::Address address, const config::EngineListEvents& known) {
+void ChangeLog::change_address(core::Address address) {
   end_overdue(ConnectionEnd::kAddressChanged);
   end_current(ConnectionEnd::kAddressChanged);
   address_ = std::move(address);
-  post_changes(known, false);
   last_backoff_ = 0;
   set_due(monotonic_now());
 }
--- a/src/net/change_log.h
+++ b/src/net/change_log.h
@@ -39,9 +39,10 @@
   TimeUs next_due() const {
     return (overdue_ ? std::min(due_, overdue_until_) : due_) + context_.stalled_time;
   }
-  // Reconnects to the log at `address`, going on from the last event number. `known`: events from the
-  // reloaded configuration, posted to the core at once.
-  void change_address(core::Address address, const config::EngineListEvents& known);
+  // Reconnects to the log at `address`, going on from the last event number.
+  void change_address(core::Address address);
+  // Posts events from the reloaded configuration to the core, as far as they are new.
+  void add_known_events(const config::EngineListEvents& known) { post_changes(known, false); }
   void close();
   std::size_t connections() const { return (current_ ? 1U : 0U) + (overdue_ ? 1U : 0U); }
 
--- a/src/net/controller.cpp
+++ b/src/net/controller.cpp
@@ -38,7 +38,6 @@
 constexpr std::size_t kClientsDivisor = 3;        // of the descriptors: clients hold a third at most
 constexpr std::size_t kReservedDescriptors = 32;  // listener, change log, signals, epoll, standard streams
 constexpr TimeUs kMaxWait = 1'000'000;
-constexpr TimeUs kReloadRetryDelay = 200'000;
 constexpr TimeUs kAcceptInterval = 10'000;
 // Since the shutdown was requested; clients that are still in the system's backlog then are given up.
 constexpr TimeUs kAcceptTimeLimit = 2'000'000;
@@ -91,19 +90,17 @@
 }  // namespace
 
 Controller::Controller(const configuration::Configuration& configuration, Descriptor listener,
-                       log::Logger& log, Reload reload)
+                       log::Logger& log, configuration::Reloader reloader)
     : Controller(configuration.controller,
                  max_fleet_connections(configuration.fleet, configuration.controller.name),
-                 std::move(listener), log, std::move(reload)) {
-  log_.configure(configuration.log);
-  reducer_.set_trace(log.on(log::Level::kDebug, log::Component::kCore));
-  if (configuration.limits) apply_limits(configuration.limits, configuration.levels);
+                 std::move(listener), log, std::move(reloader)) {
+  apply_operator_config(configuration.operators);
 }
 
 Controller::Controller(const config::ControllerConfig& config, std::size_t fleet_descriptors,
-                       Descriptor listener, log::Logger& log, Reload reload)
+                       Descriptor listener, log::Logger& log, configuration::Reloader reloader)
     : log_(log),
-      reload_(std::move(reload)),
+      reloader_(std::move(reloader)),
       settings_(config.settings),
       max_buffers_(std::max<std::size_t>(memory_part(config, kPoolDivisor) / kBufferBytes, 1)),
       pool_(max_buffers_, counters_),
@@ -166,7 +163,7 @@
     if (admin_) admin_->check(now);
     if (fleet_) fleet_->check(monotonic_now());
     if (intents_) intents_->check();
-    if (reload_retry_at_ && now >= *reload_retry_at_) reload();
+    if (reload_retry_at_ && now >= *reload_retry_at_) retry_reload();
     process_events(now);
     client_listener_.between_turns(now);
     stop_if_done(now);
@@ -257,7 +254,7 @@
   options.listener = listener;
   const auto make_member = [&] {
     return std::make_unique<FleetMember>(
-        context_, *configuration.fleet, options, settings_, configuration.limits.get(),
+        context_, *configuration.fleet, options, settings_, configuration.operators.limits.get(),
         [this] { return reducer_.limiter().fleet_usage(monotonic_now()); },
         [this](core::SendCall call) { send_after_intent(std::move(call)); });
   };
@@ -408,7 +405,7 @@
                {{"level", command->level}, {"seconds", command->hold / 1'000'000}});
     return "set\n";
   }
-  std::string out = reducer_.levels().status(now);
+  std::string out = reducer_.levels().status(now) + reloader_.states().status(now);
   const auto count = [&out](const char* name, std::uint64_t value) {
     out += std::string(name) + " " + std::to_string(value) + "\n";
   };
@@ -421,54 +418,6 @@
   return out;
 }
 
-// Reads the configuration and the operators' file again. Logs each fault on a line of its own; if there is
-// any, both old versions stay in force.
-void Controller::reload() {
-  ++counters_.reloads;
-  reload_retry_at_.reset();
-  try {
-    apply_configuration(reload_(settings_));
-  } catch (const SystemCallError& e) {
-    ++counters_.reloads_failed;
-    log_.write(log::Level::kError, log::Component::kConfig,
-               std::string("configuration not taken over: ") + e.what());
-    // The files may be good. Guards against a change log whose new address is never read.
-    if (e.is_transient()) reload_retry_at_ = monotonic_now() + kReloadRetryDelay;
-  } catch (const configuration::ConfigurationError& e) {
-    ++counters_.reloads_failed;
-    for (const std::string& line : e.lines())
-      log_.write(log::Level::kError, log::Component::kConfig, "configuration not taken over: " + line);
-  } catch (const std::exception& e) {
-    ++counters_.reloads_failed;
-    log_.write(log::Level::kError, log::Component::kConfig,
-               std::string("configuration not taken over: ") + e.what());
-  }
-  reactor_.skip_next_wait();
-}
-
-// Applies all of it between two events, so that no query sees a mix of the old and the new configuration.
-void Controller::apply_configuration(const configuration::Configuration& loaded) {
-  change_log_.change_address(loaded.controller.change_log, loaded.controller.initial_engine_list);
-  log_.configure(loaded.log);
-  reducer_.set_trace(log_.on(log::Level::kDebug, log::Component::kCore));
-  const core::Address& at = loaded.controller.change_log;
-  log_.write(log::Level::kInfo, log::Component::kConfig,
-             "configuration read anew: the change log is at " + at.host + ":" + std::to_string(at.port));
-  if (fleet_ && loaded.fleet) fleet_->apply_configuration(*loaded.fleet, loaded.limits.get());
-  if (loaded.limits) return apply_limits(loaded.limits, loaded.levels);
-  if (reducer_.limiter().active_set() == nullptr) return;
-  apply_limits(std::make_shared<const limits::LimitSet>(settings_, limits::LimitFile{}, 0), nullptr);
-}
-
-void Controller::apply_limits(std::shared_ptr<const limits::LimitSet> set,
-                              std::shared_ptr<const service_level::LevelFile> levels) {
-  const auto routes = static_cast<std::int64_t>(set->routes().size()) - 1;
-  const auto count = static_cast<std::int64_t>(levels ? levels->levels.size() : 0);
-  apply(monotonic_now(), core::LimitsChanged{std::move(set), std::move(levels)});
-  log_.write(log::Level::kInfo, log::Component::kLimits, "limits in force",
-             {{"routes", routes}, {"levels", count}});
-}
-
 // Stops the process when nothing is open and nothing can still arrive, and at the end of the schedule in any
 // case. Guards against being killed, by which requests that were read would get no answer.
 void Controller::stop_if_done(TimeUs now) {
@@ -515,6 +464,7 @@
     out << "counter level.changes " << levels.change_count() << " now " << levels.general_level() << '\n';
     levels.recorder()->write(out, "signals ");
   }
+  reloader_.states().print_counters(out);
   metrics::print(counters_, core::counter_names(), out);
 }
 
--- a/src/net/controller.h
+++ b/src/net/controller.h
@@ -2,7 +2,6 @@
 // queue's order, and runs the effects.
 #pragma once
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +9,7 @@
 #include "base/descriptor.h"
 #include "config/controller_config.h"
 #include "configuration/configuration.h"
+#include "configuration/reloader.h"
 #include "core/reducer.h"
 #include "decision/shutdown_schedule.h"
 #include "log/log.h"
@@ -33,13 +33,10 @@
 
 class Controller {
  public:
-  // Reads the configuration again for a reload and checks it against the settings in force (`running`).
-  // Throws if anything is wrong.
-  using Reload = std::function<configuration::Configuration(const Settings& running)>;
-
-  // `listener`: a bound descriptor; clients can connect once `net::listen_on` was called for it.
+  // `listener`: a bound descriptor; clients can connect once `net::listen_on` was called for it. `reloader`:
+  // reads the files again on SIGHUP.
   Controller(const configuration::Configuration& configuration, Descriptor listener, log::Logger& log,
-             Reload reload);
+             configuration::Reloader reloader);
 
   // Opens the administration socket at `path`. Throws std::runtime_error if that fails.
   void open_admin(const std::string& path);
@@ -57,7 +54,7 @@
 
  private:
   Controller(const config::ControllerConfig& config, std::size_t fleet_descriptors, Descriptor listener,
-             log::Logger& log, Reload reload);
+             log::Logger& log, configuration::Reloader reloader);
   TimeUs turn();
   TimeUs defer_turn();
   void post(core::Event event);
@@ -70,8 +67,12 @@
   void run_effect(core::SideEffect& effect);
   void on_signal(int signal);
   void reload();
+  void retry_reload();
+  void apply_files(const configuration::ReloadedFiles& files);
+  void apply_platform_config(const config::ReloadedConfig& config);
+  void apply_operator_config(const configuration::OperatorConfiguration& config);
+  void apply_fleet_terms(const std::optional<fleet::FleetConfig>& config);
   std::string run_admin_command(const std::string& line);
-  void apply_configuration(const configuration::Configuration& loaded);
   void apply_limits(std::shared_ptr<const limits::LimitSet> set,
                     std::shared_ptr<const service_level::LevelFile> levels);
   TimeUs earliest_signal_time() const;
@@ -89,7 +90,7 @@
   TimeUs time_to_wait(TimeUs now) const;
 
   log::Logger& log_;
-  Reload reload_;
+  configuration::Reloader reloader_;
   Settings settings_;
   metrics::Counters counters_;
   std::size_t max_buffers_;
@@ -109,7 +110,7 @@
   std::unique_ptr<FleetMember> fleet_;  // null: not in a fleet
   std::unique_ptr<Intents> intents_;    // null: intents are not stored
   WallClockStepDetector wall_clock_;
-  // Set when a reload failed because a system resource was missing, which may be temporary.
+  // Set while a file could not be read because a system resource was missing, which may be temporary.
   std::optional<TimeUs> reload_retry_at_;
   TimeUs created_at_;
   std::optional<ShutdownSchedule> shutdown_;  // set once shutdown was requested
--- a/src/net/fleet_member.cpp
+++ b/src/net/fleet_member.cpp
@@ -67,11 +67,13 @@
                          std::function<void(core::SendCall)> send)
     : context_(context),
       config_(config),
+      terms_config_(config),
+      proposed_terms_(fleet::terms_of(config, settings, limits)),
       settings_(settings),
       fleet_use_(std::move(use)),
       own_keeper_(own_keeper_id(config, options)),
-      role_({options.name, options.incarnation}, fleet::terms_of(config, settings, limits),
-            keepers_to_ask(config, options), options.seed),
+      role_({options.name, options.incarnation}, proposed_terms_, keepers_to_ask(config, options),
+            options.seed),
       demand_(settings),
       port_(context, config, make_hello(config, options, own_keeper_), options.listener, options.seed,
             {[this](std::uint64_t link, fleet::Message message) { on_message(link, std::move(message)); },
@@ -97,8 +99,15 @@
 
 FleetMember::~FleetMember() = default;
 
-void FleetMember::apply_configuration(const fleet::FleetConfig& config, const limits::LimitSet* limits) {
-  if (keeper_) keeper_->post(fleet::terms_of(config, settings_, limits));
+void FleetMember::propose_terms(const limits::LimitSet* limits) {
+  budget::Terms terms = fleet::terms_of(terms_config_, settings_, limits);
+  // The keepers adopt higher revisions alone.
+  if (terms.revision <= proposed_terms_.revision && terms != proposed_terms_)
+    context_.log.write(log::Level::kWarn, log::Component::kFleet,
+                       "the fleet's terms differ from those of their revision: raise it in the fleet's file",
+                       {{"revision", static_cast<std::int64_t>(terms.revision)}});
+  if (keeper_) keeper_->post(terms);
+  if (terms.revision > proposed_terms_.revision) proposed_terms_ = std::move(terms);
 }
 
 void FleetMember::check(TimeUs now) {
--- a/src/net/fleet_member.h
+++ b/src/net/fleet_member.h
@@ -55,8 +55,11 @@
     demand_.query_accepted(now, tenant, cost);
   }
   void set_engine_cores(double cores) { demand_.set_engine_cores(cores); }
-  // A new configuration is in force: if this is the leading keeper, it proposes the new terms to the fleet.
-  void apply_configuration(const fleet::FleetConfig& config, const limits::LimitSet* limits);
+  // The terms follow from this fleet file from now on; the rest of it takes effect at the next start.
+  void set_config(const fleet::FleetConfig& config) { terms_config_ = config; }
+  // New terms are in force, from the fleet file and these limits: if this is the leading keeper, it proposes
+  // them to the fleet.
+  void propose_terms(const limits::LimitSet* limits);
 
   void leave(TimeUs now);                // begins to return all shares
   bool left(TimeUs now) const;           // the keepers have confirmed it, or waiting for that timed out
@@ -80,7 +83,9 @@
                                         fleet::KeeperId id);
 
   Context& context_;
-  fleet::FleetConfig config_;
+  fleet::FleetConfig config_;        // of the start
+  fleet::FleetConfig terms_config_;  // the last that was read
+  budget::Terms proposed_terms_;     // of the highest revision so far
   Settings settings_;
   std::function<limits::FleetUsage()> fleet_use_;
   fleet::KeeperId own_keeper_ = 0;
--- a/src/operator_file/operator_file.h
+++ b/src/operator_file/operator_file.h
@@ -42,12 +42,6 @@
 // Reads the text of an operator file. Reports bad input as faults and never throws because of it.
 OperatorFileResult read_operator_file(std::string_view text, const FileSizeLimits& size_limits = {});
 
-// Returns a consistent copy of the file at `path`. A file that is replaced or written to while it is read is
-// read again, a few times. Throws std::runtime_error with the reason if the file keeps changing, can't be
-// read or is not a regular file; throws SystemCallError if the cause may pass, for example a lack of
-// descriptors. Reading stops soon after `max_bytes`, so that the caller sees that the file is too large.
-std::string load_file(const std::string& path, std::size_t max_bytes = FileSizeLimits().bytes);
-
 // Formats a fault as "FILE:LINE:COLUMN: PATH: why", without line and column if the fault is in no single
 // line.
 std::string fault_line(const std::string& path, const limits::Fault& fault);
--- a/tests/faults/fault_page.h
+++ b/tests/faults/fault_page.h
@@ -27,6 +27,7 @@
   kLockFails,              // flock(2): another process holds the lock, or the system has no locks left
 };
 inline constexpr std::size_t kCallFaultCount = 14;
+inline constexpr std::size_t kMaxPathBytes = 256;
 
 // Lives in a file that both processes map.
 struct FaultPage {
@@ -34,6 +35,8 @@
   std::atomic<std::uint64_t> seed{1};
   std::array<std::atomic<std::uint32_t>, kCallFaultCount> per_million{};  // rate of each fault
   std::array<std::atomic<std::uint64_t>, kCallFaultCount> injected{};     // faults injected so far
+  // kOpenFails concerns paths that end with this text alone; empty: all. Set before the rate.
+  std::array<char, kMaxPathBytes> open_path_end{};
 };
 
 // Environment variables that the library reads when it first needs them.
--- a/tests/faults/fault_switch.cpp
+++ b/tests/faults/fault_switch.cpp
@@ -4,6 +4,7 @@
 #include <sys/mman.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <new>
 #include <stdexcept>
 
@@ -38,6 +39,12 @@
   return variables;
 }
 
+void FaultInjector::set_open_path_end(const std::string& text) {
+  if (text.size() >= page_->open_path_end.size()) throw std::runtime_error("the path is too long");
+  page_->open_path_end.fill(0);
+  std::copy(text.begin(), text.end(), page_->open_path_end.begin());
+}
+
 void FaultInjector::clear_rates() {
   for (auto& rate : page_->per_million) rate = 0;
 }
--- a/tests/faults/fault_switch.h
+++ b/tests/faults/fault_switch.h
@@ -32,6 +32,8 @@
   void set_rate(CallFault fault, std::uint32_t per_million) {
     page_->per_million[static_cast<std::size_t>(fault)] = per_million;
   }
+  // From now on open(2) fails for paths that end with this text alone, at the rate of kOpenFails.
+  void set_open_path_end(const std::string& text);
   void clear_rates();  // no call fails from now on; the wall clock keeps its offset
   // How often this fault was injected so far.
   std::uint64_t injected(CallFault fault) const { return page_->injected[static_cast<std::size_t>(fault)]; }
--- a/tests/fleet/fleet_harness.h
+++ b/tests/fleet/fleet_harness.h
@@ -71,6 +71,10 @@
   // SIGHUP.
   void reconfigure(const FleetShape& shape, int revision, int first = 1'000);
 
+  // From now on reconfigure() writes that file with a field that no controller knows.
+  enum class BadFile { kNone, kLimits, kFleet };
+  void set_bad_file(BadFile file) { bad_file_ = file; }
+
   // Waits until the leases of these controllers sum to all that can be leased. False after 60 s, as every
   // wait_*().
   bool wait_fully_leased(const std::vector<int>& among);
@@ -119,6 +123,7 @@
 
   FleetShape shape_;
   int revision_ = 1;
+  BadFile bad_file_ = BadFile::kNone;
   int fleet_number_ = 7;
   std::vector<int> keepers_;
   std::string directory_;
--- a/tests/fleet/scenarios_test.cpp
+++ b/tests/fleet/scenarios_test.cpp
@@ -4,7 +4,9 @@
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <sstream>
+#include <thread>
 
 #include "fleet_harness.h"
 #include "net/admin_socket.h"
@@ -28,6 +30,68 @@
   return out;
 }
 
+// Waits until the first keeper's status has this text; false after 20 s.
+bool wait_for_status(FleetHarness& fleet, const std::string& part) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (std::chrono::steady_clock::now() < until) {
+    if (net::ask_admin(fleet.admin(0), "fleet status\n").find(part) != std::string::npos) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+// Guards against terms that wait for another file than their own (issue 67): the fleet's file raises the
+// revision while the operators' file is bad. The totals follow the limits in force; others need a revision of
+// their own.
+TEST(Fleet, ANewRevisionIsFollowedWhereTheOperatorsFileIsBad) {
+  FleetShape shape;
+  FleetHarness fleet(shape);
+  fleet.start_all();
+  ASSERT_TRUE(fleet.wait_fully_leased({0, 1}));
+  FleetShape smaller = shape;
+  smaller.rate = 80;
+  fleet.set_bad_file(FleetHarness::BadFile::kLimits);
+  fleet.reconfigure(smaller, 2);
+  for (const int i : {0, 1}) {
+    EXPECT_TRUE(fleet.at(i).wait_for_line("limits.yaml:1:1: misspelt: unknown field"));
+    EXPECT_TRUE(fleet.wait_line(i, "revision 2 "));
+  }
+  EXPECT_TRUE(wait_for_status(fleet, "allowance rate/acme whole 200000 "));
+  fleet.set_bad_file(FleetHarness::BadFile::kNone);
+  fleet.reconfigure(smaller, 2);
+  for (const int i : {0, 1}) EXPECT_TRUE(fleet.at(i).wait_for_line("raise it in the fleet's file"));
+  fleet.reconfigure(smaller, 3);
+  for (const int i : {0, 1}) EXPECT_TRUE(fleet.wait_line(i, "revision 3 "));
+  EXPECT_TRUE(wait_for_status(fleet, "allowance rate/acme whole 80000 "));
+  expect_held(fleet);
+}
+
+// The other order: the limits are taken over where the fleet's file is bad, and the terms stay until it is
+// good.
+TEST(Fleet, NewLimitsAreTakenOverWhereTheFleetsFileIsBad) {
+  FleetShape shape;
+  shape.tenants = {"acme", "beta"};
+  FleetHarness fleet(shape);
+  fleet.start_all();
+  ASSERT_TRUE(fleet.wait_fully_leased({0, 1}));
+  FleetShape smaller = shape;
+  smaller.rate = 80;
+  smaller.tenants = {"acme"};
+  fleet.set_bad_file(FleetHarness::BadFile::kFleet);
+  fleet.reconfigure(smaller, 2);
+  for (const int i : {0, 1}) {
+    EXPECT_TRUE(fleet.at(i).wait_for_line(".fleet.yaml:1:1: misspelt: unknown field"));
+    EXPECT_TRUE(fleet.at(i).wait_for_line("limits in force component=limits routes=1"));
+  }
+  EXPECT_TRUE(wait_for_status(fleet, "allowance rate/beta whole 200000 "));
+  EXPECT_EQ(fleet.at(0).log().find("revision 2 "), std::string::npos);
+  fleet.set_bad_file(FleetHarness::BadFile::kNone);
+  fleet.reconfigure(smaller, 2);
+  for (const int i : {0, 1}) EXPECT_TRUE(fleet.wait_line(i, "revision 2 "));
+  EXPECT_TRUE(wait_for_status(fleet, "allowance rate/acme whole 80000 "));
+  expect_held(fleet);
+}
+
 // Two processes that share limits, with traffic: the sum of their leases stays within the total through a
 // kill.
 TEST(Fleet, TwoControllersShareOneWholeAndItHoldsThroughAKill) {
